--- /dev/null
+++ b/include/streampick/router.h
@@ -0,0 +1,134 @@
+// streampick: the whole interface of the decision module. See src/router.cpp for the decisions.
+//
+// A host feeds a Router events, each with the time it happened; the Router answers with actions on
+// a sink and tells when it next wants to be woken. It does no I/O and reads no clock.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <vector>
+
+namespace streampick {
+
+using Time = std::int64_t;        // microseconds on the host's clock
+using RequestId = std::uint64_t;  // chosen by the host, never reused
+using ServerId = std::uint32_t;   // small integer, chosen by the host, stable for a Router's life
+inline constexpr Time kNever = INT64_MAX;
+inline constexpr std::uint32_t kNone = UINT32_MAX;
+
+enum class Effect : std::uint8_t { safe, keyed, unsafe };   // how far a request may be repeated
+enum class Group : std::uint8_t { all, zone, cell };        // who discards a keyed repeat
+enum class Phase : std::uint8_t { ready, draining, gone };  // what the server list says
+enum class Update : std::uint8_t { changes, full, stale, failed };
+enum class Outcome : std::uint8_t {
+  served,
+  error,           // may have run
+  full,            // turned away unseen
+  timeout,         // may have run
+  connect_failed,  // never sent
+  reset,           // may have run
+  cancelled,       // may have run
+  not_sent,        // never sent
+  miss,            // the cache server lacks the key; nothing ran
+};
+
+struct RequestClass {
+  Time aim = 0;       // an answer within this earns the full worth
+  Time deadline = 0;  // the client's whole patience, over all its tries
+  double worth = 1;
+  Effect effect = Effect::unsafe;
+  Group group = Group::all;
+  Time window = 0;  // how long repeats of a keyed request are discarded
+};
+
+struct Tenant {
+  double quota_per_s = 0;  // over all routers together; 0 means no quota
+};
+
+struct Config {
+  std::uint32_t zone = kNone;
+  std::uint32_t origin_kind = kNone;  // look-aside fleets: the member kind that is the origin
+  std::uint32_t routers = 1;
+  std::uint32_t max_attempts = 1;
+  bool aside = false;  // misses come back to the router, which then reads the origin
+  bool can_cancel = false;
+  bool can_copy = false;  // two attempts of one request may be out together
+  bool must_ask = false;  // the server list answers only when asked
+  Time answer_slack = 0;
+  Time max_retry_after = 0;
+  Time dial_time_out = 0;      // a connection not made within this fails
+  Time keep_alive = 0;         // an idle connection closes after this; 0: not told
+  double connection_cost = 0;  // price of open connections; 0: they cost nothing
+  double cold_share = 1;       // a starting server can do at least this share of its work ...
+  Time cold_time = 0;          // ... and all of it after this time
+  std::vector<RequestClass> classes;
+  std::vector<Tenant> tenants;
+};
+
+// Throws std::invalid_argument that says what is wrong. The constructor of Router calls it.
+void validate(const Config& config);
+
+struct Member {
+  ServerId id = kNone;
+  std::uint64_t identity = 0;  // hash of the server's name: equal at all routers
+  std::uint32_t zone = kNone;
+  std::uint32_t kind = kNone;
+  std::uint32_t cell = 0;
+  Phase phase = Phase::ready;
+  double weight = 1;
+  Time started = 0;  // 0: long ago
+};
+
+struct Request {
+  RequestId id = 0;
+  std::uint32_t request_class = 0;
+  std::uint32_t tenant = kNone;
+  std::uint64_t key = 0;
+  bool has_key = false;
+  bool write = false;
+  Time deadline = 0;   // when the client gives this try up
+  Time cost_hint = 0;  // expected work, 0 when not told
+};
+
+struct AttemptResult {
+  RequestId request = 0;
+  std::uint32_t attempt = 0;
+  ServerId server = kNone;
+  Outcome outcome = Outcome::error;
+  Time took = 0;
+  bool request_over = false;  // the client has its answer, or is gone
+};
+
+class ActionSink {
+ public:
+  virtual ~ActionSink() = default;
+  virtual void send(RequestId request, ServerId server, Time time_out) = 0;  // 0: until deadline
+  virtual void cancel(RequestId request, std::uint32_t attempt) = 0;
+  virtual void refuse(RequestId request, Time retry_after) = 0;
+  virtual void fail(RequestId request) = 0;
+  // Optional: close the idle connections to this server.
+  virtual void close_idle(ServerId) {}
+  virtual void watch_members() = 0;
+};
+
+class Router {
+ public:
+  Router(Config config, std::uint64_t seed, Time now, ActionSink& sink);
+  ~Router();
+  Router(Router&&) noexcept;
+
+  void on_members(Time now, Update update, std::span<const Member> members);
+  void on_request(Time now, const Request& request);
+  void on_stream_started(Time now, RequestId request, std::uint32_t attempt);
+  void on_result(Time now, const AttemptResult& result);
+  void on_withdrawn(Time now, RequestId request);
+  void on_wakeup(Time now);
+  [[nodiscard]] Time next_wakeup() const;  // kNever: nothing to wake for
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace streampick
--- /dev/null
+++ b/src/config.cpp
@@ -0,0 +1,41 @@
+// What a Router refuses to be made with, in words. No decision is made here.
+#include <cmath>
+#include <stdexcept>
+#include <string>
+
+#include "streampick/router.h"
+
+namespace streampick {
+namespace {
+
+void require(bool holds, const std::string& otherwise) {
+  if (!holds) throw std::invalid_argument("streampick::Config: " + otherwise);
+}
+
+}  // namespace
+
+void validate(const Config& config) {
+  require(!config.classes.empty(), "no request class");
+  for (std::size_t i = 0; i < config.classes.size(); ++i) {
+    const RequestClass& kind = config.classes[i];
+    const std::string which = "class " + std::to_string(i) + ": ";
+    require(kind.aim > 0, which + "aim must be above 0");
+    require(kind.deadline > 0, which + "deadline must be above 0");
+    require(kind.window >= 0, which + "window must not be negative");
+    require(std::isfinite(kind.worth) && kind.worth >= 0, which + "worth must be 0 or more");
+  }
+  for (std::size_t i = 0; i < config.tenants.size(); ++i) {
+    const double quota = config.tenants[i].quota_per_s;
+    require(std::isfinite(quota) && quota >= 0, "tenant " + std::to_string(i) + ": quota must be 0 or more");
+  }
+  require(config.max_attempts > 0, "max_attempts must be 1 or more");
+  require(config.cold_share > 0 && config.cold_share <= 1, "cold_share must be above 0 and at most 1");
+  require(config.answer_slack >= 0 && config.max_retry_after >= 0 && config.cold_time >= 0 &&
+              config.dial_time_out >= 0 && config.keep_alive >= 0,
+          "times must not be negative");
+  require(std::isfinite(config.connection_cost) && config.connection_cost >= 0,
+          "connection_cost must be 0 or more");
+  require(!config.aside || config.origin_kind != kNone, "a look-aside fleet needs an origin_kind");
+}
+
+}  // namespace streampick
--- /dev/null
+++ b/src/wire.h
@@ -0,0 +1,100 @@
+// The wire between a host process and its routers: text lines in, text lines out.
+// Parsing is strict about what it uses and names the line and the field it rejects.
+#pragma once
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "streampick/router.h"
+
+namespace streampick::wire {
+
+class ParseError : public std::runtime_error {
+ public:
+  ParseError(std::size_t line, std::string_view field, std::string_view text);
+};
+
+// The space-separated parts of one line, taken from the left.
+class Fields {
+ public:
+  Fields(std::string_view line, std::size_t number) : rest_(line), line_(number) {}
+
+  std::string_view word(std::string_view field);
+  std::string_view word_or_absent(std::string_view field);  // empty for '-' or at the line's end
+  std::int64_t integer(std::string_view field);
+  std::int64_t integer_or(std::string_view field, std::int64_t absent);
+  double number_or(std::string_view field, double absent);
+  std::uint64_t hex(std::string_view field);
+  bool flag_or_false(std::string_view field);
+  std::string_view rest() { return rest_; }
+  [[noreturn]] void reject(std::string_view field, std::string_view text) const;
+
+ private:
+  std::string_view rest_;
+  std::size_t line_;
+};
+
+enum class Event : std::uint8_t {
+  turn,
+  on,
+  init,
+  exit,
+  members,
+  inbound,
+  streaming,
+  report_back,
+  withdrawn,
+  timeout_fired,
+  check_result,
+  peer_data,
+  over_to_you,
+};
+Event parse_event(Fields& fields);
+
+// Names of one instance's settings, interned to their place in the list.
+struct Names {
+  std::vector<std::string> classes, tenants, zones, kinds;
+};
+struct Settings {
+  std::uint64_t seed = 0;
+  Config config;
+  Names names;
+};
+Settings parse_init(Fields& fields);
+
+struct MembersHead {
+  Update update = Update::full;
+  std::int64_t entries = 0;
+};
+MembersHead parse_members(Fields& fields);
+
+struct MemberLine {
+  std::string_view server;
+  Member member;  // its id is the host's to fill in
+};
+MemberLine parse_member(Fields& fields, const Names& names);
+
+Request parse_inbound(Fields& fields, const Names& names);
+
+struct ResultLine {
+  std::string_view server;
+  AttemptResult result;  // its server is the host's to fill in
+};
+ResultLine parse_report_back(Fields& fields);
+
+void write_for(std::string& out, std::int64_t instance);
+void write_hand_off(std::string& out, RequestId request, std::string_view server, Time allow_for);
+void write_recall(std::string& out, RequestId request, std::uint32_t attempt);
+void write_refuse(std::string& out, RequestId request, Time pause);
+void write_end_failed(std::string& out, RequestId request);
+void write_defer(std::string& out, Time sleep_for, std::string_view tag);
+void write_disconnect(std::string& out, std::string_view server);
+void write_follow(std::string& out);
+void write_ack(std::string& out);
+
+std::uint64_t hash_name(std::string_view name);  // FNV-1a: the same in every process
+
+}  // namespace streampick::wire
