--- /dev/null
+++ b/src/node/discovery.h
@@ -0,0 +1,52 @@
+// The watch on the list of servers: one long answer, a JSON object a line.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <random>
+
+#include "settings.h"
+
+namespace streampick::node {
+
+class ListReader {
+ public:
+  virtual ~ListReader() = default;
+  virtual void list_came(const MemberList& list) = 0;
+  virtual void list_failed() = 0;  // the watch ended, or could not be had; the old list holds
+};
+
+class Discovery {
+ public:
+  // Watches from after `revision` on. With `again`, a watch that ended is set up anew by itself;
+  // otherwise the next call of watch() does that.
+  Discovery(boost::asio::io_context& io, const Names& names, const boost::asio::ip::tcp::endpoint& address,
+            std::uint64_t revision, bool again, std::uint64_t seed, ListReader& reader);
+  ~Discovery();
+  Discovery(const Discovery&) = delete;
+  Discovery& operator=(const Discovery&) = delete;
+
+  void watch();
+  void stop();
+
+ private:
+  class Watch;
+  void ended(const std::string& why);
+  void line(const std::string& text);
+
+  boost::asio::io_context& io_;
+  const Names& names_;
+  boost::asio::ip::tcp::endpoint address_;
+  std::uint64_t revision_;
+  bool again_, stopped_ = false;
+  ListReader& reader_;
+  std::minstd_rand random_;
+  std::shared_ptr<Watch> watch_;
+  boost::asio::steady_timer retry_;
+  std::chrono::milliseconds backoff_;
+};
+
+}  // namespace streampick::node
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,152 @@
+#include "settings.h"
+
+#include <algorithm>
+#include <charconv>
+#include <limits>
+
+namespace streampick {
+namespace {
+
+std::vector<std::string> split(std::string_view text, char separator) {
+  std::vector<std::string> parts;
+  while (!text.empty()) {
+    const std::size_t end = text.find(separator);
+    parts.emplace_back(text.substr(0, end));
+    if (end == std::string_view::npos) break;
+    text.remove_prefix(end + 1);
+  }
+  return parts;
+}
+
+class Pairs {
+ public:
+  explicit Pairs(const SettingValues& values) : values_(values) {}
+
+  std::string_view text(const std::string& path) const {
+    const auto found = values_.find(path);
+    return found == values_.end() ? std::string_view{} : found->second;
+  }
+  double number(const std::string& path, double absent) const {
+    const std::string_view value = text(path);
+    if (value.empty() || value == "-") return absent;
+    const auto parsed = to_number(value);
+    if (!parsed) reject(path, value);
+    return *parsed;
+  }
+  template <typename Integer>
+  Integer integer(const std::string& path, Integer absent) const {
+    const double value = number(path, static_cast<double>(absent));
+    // Written so that NaN is rejected too.
+    if (!(value >= 0 && value <= static_cast<double>(std::numeric_limits<Integer>::max()) / 2))
+      reject(path, text(path));
+    return static_cast<Integer>(value);
+  }
+  bool yes(const std::string& path, bool absent = false) const {
+    const std::string_view value = text(path);
+    if (value.empty()) return absent;
+    if (value == "true" || value == "1") return true;
+    if (value == "false" || value == "0") return false;
+    reject(path, value);
+  }
+  [[noreturn]] void reject(const std::string& path, std::string_view value) const {
+    throw SettingsError(path, std::string(value));
+  }
+
+ private:
+  const SettingValues& values_;
+};
+
+RequestClass read_class(const Pairs& pairs, const std::string& at) {
+  RequestClass out;
+  out.aim = pairs.integer<Time>(at + "AimUs", 0);
+  out.deadline = pairs.integer<Time>(at + "HardLimitUs", 0);
+  out.worth = pairs.number(at + "Worth", 1);
+  out.window = pairs.integer<Time>(at + "WindowUs", 0);
+  const std::string_view effect = pairs.text(at + "Effect");
+  if (effect == "safe") {
+    out.effect = Effect::safe;
+  } else if (effect == "keyed") {
+    out.effect = Effect::keyed;
+  } else if (effect == "unsafe") {
+    out.effect = Effect::unsafe;
+  } else {
+    pairs.reject(at + "Effect", effect);
+  }
+  const std::string_view group = pairs.text(at + "Group");
+  if (group == "zone") {
+    out.group = Group::zone;
+  } else if (group == "cell") {
+    out.group = Group::cell;
+  } else if (!group.empty() && group != "all" && group != "-") {
+    pairs.reject(at + "Group", group);
+  }
+  return out;
+}
+
+}  // namespace
+
+std::optional<double> to_number(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
+  return value;
+}
+
+std::uint32_t index_of(const std::vector<std::string>& names, std::string_view name) {
+  for (std::size_t i = 0; i < names.size(); ++i)
+    if (names[i] == name) return static_cast<std::uint32_t>(i);
+  return kNone;
+}
+
+std::uint64_t hash_name(std::string_view name) {
+  std::uint64_t hash = 0xcbf29ce484222325U;
+  for (const char c : name) {
+    hash ^= static_cast<unsigned char>(c);
+    hash *= 0x100000001b3U;
+  }
+  return hash;
+}
+
+Settings read_settings(const SettingValues& values) {
+  Settings out;
+  const Pairs pairs(values);
+  Names& names = out.names;
+  names.zones = split(pairs.text("Zones"), ',');
+  names.kinds = split(pairs.text("Shapes"), ',');
+
+  Config& config = out.config;
+  config.zone = index_of(names.zones, pairs.text("Az"));
+  config.aside = pairs.text("FamilyInfo.Mode") == "aside";
+  const double origin = pairs.number("FamilyInfo.OriginKind", -1);
+  if (origin >= 0) config.origin_kind = static_cast<std::uint32_t>(origin);
+  config.routers = std::max(1U, pairs.integer<std::uint32_t>("Balancers", 1));
+  config.max_attempts = std::max(1U, pairs.integer<std::uint32_t>("PolicyLimits.MaxAttempts", 1));
+  config.can_cancel = pairs.yes("PolicyLimits.Cancelling");
+  config.can_copy = pairs.yes("PolicyLimits.SecondCopies");
+  config.max_retry_after =
+      pairs.yes("PolicyLimits.RetryAfter") ? pairs.integer<Time>("PolicyLimits.MaxRetryAfterUs", 0) : 0;
+  config.dial_time_out = pairs.integer<Time>("PolicyLimits.DialTimeoutUs", 0);
+  config.keep_alive = pairs.integer<Time>("PolicyLimits.KeepaliveUs", 0);
+  config.connection_cost = pairs.number("Costs.Connection", 0);
+  config.must_ask = pairs.text("RegistryMode") == "ask";
+  config.answer_slack = pairs.integer<Time>("Guarantees.AnswerSlackUs", 0);
+  config.cold_share = pairs.number("Guarantees.ColdShare", 1);
+  config.cold_time = pairs.integer<Time>("Guarantees.ColdUs", 0);
+  out.drain_grace = pairs.integer<Time>("Guarantees.StopSendingWithinUs", 0);
+
+  const auto classes = pairs.integer<std::uint32_t>("Profiles.count", 0);
+  for (std::uint32_t i = 0; i < classes; ++i) {
+    const std::string at = "Profiles." + std::to_string(i) + ".";
+    config.classes.push_back(read_class(pairs, at));
+    names.classes.emplace_back(pairs.text(at + "Name"));
+  }
+  const auto tenants = pairs.integer<std::uint32_t>("Tenants.count", 0);
+  for (std::uint32_t i = 0; i < tenants; ++i) {
+    const std::string at = "Tenants." + std::to_string(i) + ".";
+    config.tenants.push_back({pairs.number(at + "QuotaPerS", 0)});
+    names.tenants.emplace_back(pairs.text(at + "Name"));
+  }
+  return out;
+}
+
+}  // namespace streampick
--- a/src/wire.h
+++ b/src/wire.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "settings.h"
 #include "streampick/router.h"
 
 namespace streampick::wire {
@@ -54,15 +55,10 @@
 };
 Event parse_event(Fields& fields);
 
-// Names of one instance's settings, interned to their place in the list.
-struct Names {
-  std::vector<std::string> classes, tenants, zones, kinds;
-};
-struct Settings {
-  std::uint64_t seed = 0;
-  Config config;
-  Names names;
-};
+using streampick::hash_name;
+using streampick::Names;
+using streampick::Settings;
+
 Settings parse_init(Fields& fields);
 
 struct MembersHead {
@@ -95,6 +91,4 @@
 void write_follow(std::string& out);
 void write_ack(std::string& out);
 
-std::uint64_t hash_name(std::string_view name);  // FNV-1a: the same in every process
-
 }  // namespace streampick::wire
