--- a/src/node/host.cpp
+++ b/src/node/host.cpp
@@ -227,11 +227,12 @@
 
 void Host::wake() {
   const Time now = clock_.now();
+  std::vector<RequestId> guarded;
   while (!expiries_.empty() && std::get<Time>(*expiries_.begin()) <= now) {
     const auto [at, request, number] = *expiries_.begin();
     expiries_.erase(expiries_.begin());
     if (number == kNone) {
-      guard(request);
+      guarded.push_back(request);
       continue;
     }
     Attempt& attempt = requests_.at(request).attempts[number];
@@ -241,6 +242,9 @@
   settle();
   if (router_->next_wakeup() <= now) router_->on_wakeup(now);
   settle();
+  // Last: after a stall both may be due at once, and then the answer is still the module's to give.
+  for (const RequestId request : guarded) guard(request);
+  settle();
 }
 
 // The module owes an answer by the deadline it was told. Should it ever fail to, the client gets one
