SIGTERM: wait for a request half in, but not for ever; overload measured

Found by reading Host::finish_if_drained: a request whose first part had come in was not waited for, and a client that does not take its answer held the exit up until the kill. Mend: a connection in the middle of a message counts as unanswered until 3.2 s after the signal; the program ends 0.2 s after that whatever is open.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -126,7 +126,8 @@
   }
 
   bool idle() const { return state_ == State::reading && !parser_->got_some() && buffer_.size() == 0; }
-  bool unanswered() const { return state_ == State::asked || state_ == State::writing; }
+  // A request that has begun to come in counts: its last byte may be here already.
+  bool unanswered() const { return state_ != State::lingering && !idle(); }
   Time since() const { return since_; }
 
   void sweep(Time now) {
--- a/src/node/clients.h
+++ b/src/node/clients.h
@@ -61,7 +61,7 @@
   void drain();
   void stop_accepting();
   void sweep();                    // closes what has stood still for too long
-  std::size_t unanswered() const;  // connections with a request in work or an answer not yet written
+  std::size_t unanswered() const;  // connections with a request on them, or an answer not yet written
   std::size_t open() const { return sessions_.size(); }
 
  private:
--- a/src/node/host.cpp
+++ b/src/node/host.cpp
@@ -17,7 +17,7 @@
 // An answer must have reached the client before its deadline: the module is told one that is earlier
 // by the time that the last steps take, and the guard stands between the two.
 constexpr Time kAnswerTakes = 20 * kMs, kGuardBefore = 8 * kMs;
-constexpr Time kAcceptAfterTerm = 500 * kMs, kAnswerAfterTerm = 3'200 * kMs;
+constexpr Time kAcceptAfterTerm = 500 * kMs, kAnswerAfterTerm = 3'200 * kMs, kLastWrites = 200 * kMs;
 constexpr std::size_t kOtherDescriptors = 32;  // standard streams, listener, discovery, the event loop's
 constexpr std::size_t kLeastDescriptors = 64;
 
@@ -355,8 +355,9 @@
 // ---- The end
 
 void Host::drain(std::function<void()> done) {
-  if (done_) return;
+  if (drain_end_ != kNever) return;
   done_ = std::move(done);
+  accept_end_ = clock_.now() + kAcceptAfterTerm;
   drain_end_ = clock_.now() + kAnswerAfterTerm;
   clients_->drain();
   drain_timer_.expires_after(std::chrono::microseconds(kAcceptAfterTerm));
@@ -366,24 +367,30 @@
     clients_->drain();
     drain_timer_.expires_at(clock_.steady(drain_end_));
     drain_timer_.async_wait([this](error_code stopped) {
-      if (stopped) return;
-      std::vector<RequestId> left;
-      for (const auto& [id, request] : requests_)
-        if (!request.over) left.push_back(id);
-      for (const RequestId id : left) guard(id);
-      settle();
+      if (!stopped) end_drain();
     });
     finish_if_drained();
   });
 }
 
+// The kill is near: what is still open fails, and a client that does not take its answer is not waited
+// for any longer.
+void Host::end_drain() {
+  std::vector<RequestId> left;
+  for (const auto& [id, request] : requests_)
+    if (!request.over) left.push_back(id);
+  for (const RequestId id : left) guard(id);
+  drain_timer_.expires_after(std::chrono::microseconds(kLastWrites));
+  drain_timer_.async_wait([this](error_code stopped) {
+    if (!stopped && done_) std::exchange(done_, nullptr)();
+  });
+  settle();
+}
+
 void Host::finish_if_drained() {
-  if (!done_ || drain_end_ == kNever) return;
-  if (clock_.now() < drain_end_ - kAnswerAfterTerm + kAcceptAfterTerm || clients_->unanswered() > 0) return;
-  const auto done = done_;
-  drain_end_ = kNever;
+  if (!done_ || clock_.now() < accept_end_ || clients_->unanswered() > 0) return;
   drain_timer_.cancel();
-  done();
+  std::exchange(done_, nullptr)();
 }
 
 }  // namespace streampick::node
--- a/src/node/host.h
+++ b/src/node/host.h
@@ -88,6 +88,7 @@
   void guard(RequestId request);
   void arm();
   void every_second();
+  void end_drain();
   void finish_if_drained();
 
   boost::asio::io_context& io_;
@@ -103,7 +104,8 @@
   std::set<Expiry> expiries_;
   std::deque<Ended> ended_;
   RequestId last_request_ = 0;
-  Time armed_ = kNever, drain_end_ = kNever;
+  Time armed_ = kNever;
+  Time accept_end_ = kNever, drain_end_ = kNever;  // once told to stop
   bool settling_ = false;
   Counts counts_;
   std::string last_summary_;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -65,6 +65,17 @@
   ASSERT_TRUE(wait_for([&] { return cache.open() == 0; }));
 }
 
+TEST_F(Loopback, AfterAStallTheAnswerIsStillTheModules) {
+  start();
+  const auto one = client();
+  one->ask(request_text("GET", "/read/1", "read", "", "0.6"));
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  ::usleep(700'000);  // the process was not run: everything of this request is due at once
+  ASSERT_TRUE(wait_for([&] { return !one->answers.empty(); }));
+  EXPECT_EQ(one->status(), 503);
+  EXPECT_EQ(host->counts().guarded, 0U);
+}
+
 TEST_F(Loopback, TheFirstOfTwoCopiesIsPassedOnAndTheOtherIsCancelledAndReported) {
   FakeServer second(io);
   start(list_json(
@@ -475,6 +486,32 @@
   EXPECT_EQ(one->answers.size(), 1U);
 }
 
+TEST_F(Loopback, ToldToStopItWaitsForARequestThatHasBegunToComeIn) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  const auto one = client();
+  one->ask(kRead.substr(0, 20));
+  quiet(50);
+  bool done = false;
+  host->drain([&] { done = true; });
+  quiet(1'000);  // past the time of accepting
+  EXPECT_FALSE(done);
+  one->ask(kRead.substr(20));
+  ASSERT_TRUE(wait_for([&] { return done; }));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 200);
+}
+
+TEST_F(Loopback, ToldToStopItDoesNotWaitForEverForAClientThatStandsStill) {
+  start();
+  const auto one = client();
+  one->ask("GET /read/1 HT");
+  quiet(50);
+  bool done = false;
+  host->drain([&] { done = true; });
+  EXPECT_TRUE(wait_for([&] { return done; }));
+}
+
 // ---- The program
 
 int exit_code(const std::string& command) {
