Router: one place for what its HTTP sides share; more loopback tests

Tests added: order of use and closing of pooled connections, interim and closing answers, no descriptor for a dial, a silent watch, a draining origin. Each of four mutations (least recently used first, guard at once, half requests not waited for, silence not noticed) fails its test; the first did not before its test was made stricter.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -1,7 +1,6 @@
 #include "clients.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -11,18 +10,12 @@
 #include <variant>
 
 #include "log.h"
+#include "protocol.h"
 
 namespace streampick::node {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-using boost::system::error_code;
-using tcp = asio::ip::tcp;
-
 namespace {
 
-constexpr std::size_t kLongestBody = 64 * 1024, kLongestHeader = 16 * 1024, kReadChunk = 8 * 1024;
 constexpr std::size_t kMostAhead = kLongestBody + kLongestHeader;  // read while a request is in work
 constexpr Time kSecond = 1'000'000;
 constexpr Time kLongestWait = 3600 * kSecond;
@@ -89,14 +82,6 @@
   return out;
 }
 
-std::string seconds(Time time) {
-  std::array<char, 32> text{};
-  const auto end = std::to_chars(text.data(), text.data() + text.size(), static_cast<double>(time) / 1e6,
-                                 std::chars_format::fixed, 3)
-                       .ptr;
-  return {text.data(), end};
-}
-
 }  // namespace
 
 // One read is outstanding at all times, so that a client that goes away is noticed while its request
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -8,21 +8,17 @@
 #include <utility>
 
 #include "log.h"
+#include "protocol.h"
 
 namespace streampick::node {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-using boost::system::error_code;
-using tcp = asio::ip::tcp;
 using std::chrono::milliseconds;
 
 namespace {
 
 constexpr milliseconds kSilence{5'000};  // an empty line comes every 2 s
 constexpr milliseconds kBackoffFirst{100}, kBackoffMost{2'000};
-constexpr std::size_t kLongestLine = 4 * 1024 * 1024, kReadChunk = 16 * 1024;
+constexpr std::size_t kLongestLine = 4 * 1024 * 1024;
 
 }  // namespace
 
--- a/src/node/host.cpp
+++ b/src/node/host.cpp
@@ -1,16 +1,13 @@
 #include "host.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "log.h"
+#include "protocol.h"
 
 namespace streampick::node {
 
-namespace asio = boost::asio;
-using boost::system::error_code;
-
 namespace {
 
 constexpr Time kMs = 1'000, kSecond = 1'000'000;
@@ -299,11 +296,7 @@
 
 ServerId Host::intern(const Listed& listed) {
   const auto [entry, fresh] = ids_.try_emplace(listed.id, static_cast<ServerId>(upstreams_.size()));
-  if (fresh) {
-    upstreams_.push_back(std::make_unique<Upstream>(io_, clock_, *this, listed.id));
-    members_.push_back(listed.member);
-    members_.back().id = entry->second;
-  }
+  if (fresh) upstreams_.push_back(std::make_unique<Upstream>(io_, clock_, *this, listed.id));
   return entry->second;
 }
 
@@ -321,7 +314,6 @@
     const ServerId id = intern(listed);
     Member member = listed.member;
     member.id = id;
-    members_[id] = member;
     if (id < named.size()) named[id] = true;
     upstreams_[id]->set_address(listed.address);
     if (member.phase == Phase::ready) {
--- a/src/node/host.h
+++ b/src/node/host.h
@@ -2,6 +2,7 @@
 // the module's actions into I/O. It decides nothing.
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
@@ -99,7 +100,6 @@
   std::optional<Router> router_;
   std::vector<std::unique_ptr<Upstream>> upstreams_;  // by ServerId
   std::unordered_map<std::string, ServerId> ids_;
-  std::vector<Member> members_;
   std::unordered_map<RequestId, Open> requests_;
   std::set<Expiry> expiries_;
   std::deque<Ended> ended_;
--- a/src/node/upstream.cpp
+++ b/src/node/upstream.cpp
@@ -1,39 +1,18 @@
 #include "upstream.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <optional>
 #include <utility>
 
 #include "log.h"
+#include "protocol.h"
 
 namespace streampick::node {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = beast::http;
-using boost::system::error_code;
-using tcp = asio::ip::tcp;
-
-namespace {
-
-constexpr std::size_t kLongestBody = 64 * 1024, kLongestHeader = 16 * 1024, kReadChunk = 8 * 1024;
-
-std::string seconds(Time time) {
-  std::array<char, 32> text{};
-  const double value = static_cast<double>(std::max<Time>(time, 0)) / 1e6;
-  const auto end =
-      std::to_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed, 3).ptr;
-  return {text.data(), end};
-}
-
-}  // namespace
-
 // A read is always outstanding, so that a close is noticed at once, on an idle connection too.
 class Upstream::Connection : public std::enable_shared_from_this<Connection> {
  public:
@@ -63,10 +42,7 @@
 
   void start(Job job, Time now) {
     job_ = std::move(job);
-    parser_.emplace();
-    parser_->body_limit(kLongestBody);
-    parser_->header_limit(kLongestHeader);
-    parser_->eager(true);
+    next_answer();
     const Forward& forward = *job_->forward;
     request_ = {};
     request_.method(forward.method);
@@ -112,6 +88,13 @@
     owner_->came_free(self);
   }
 
+  void next_answer() {
+    parser_.emplace();
+    parser_->body_limit(kLongestBody);
+    parser_->header_limit(kLongestHeader);
+    parser_->eager(true);
+  }
+
   void read() {
     socket_.async_read_some(
         buffer_.prepare(kReadChunk),
@@ -121,7 +104,7 @@
   void received(error_code error, std::size_t got) {
     if (owner_ == nullptr) return;
     buffer_.commit(got);
-    if (!job_) return give_back_nothing();  // closed, or bytes that nobody asked for
+    if (!job_) return owner_->drop(shared_from_this());  // closed, or bytes that nobody asked for
     if (error) {
       if (error == asio::error::eof && parser_->got_some()) {
         error_code ending;
@@ -141,9 +124,7 @@
       if (parser_->is_done()) {
         // An interim answer (100 and the like) stands before the real one.
         if (http::to_status_class(parser_->get().result()) == http::status_class::informational) {
-          parser_.emplace();
-          parser_->body_limit(kLongestBody);
-          parser_->eager(true);
+          next_answer();
           continue;
         }
         return answered(parser_->keep_alive() && buffer_.size() == 0);
@@ -207,8 +188,6 @@
     owner.end(attempt, outcome, std::move(answer));
   }
 
-  void give_back_nothing() { owner_->drop(shared_from_this()); }
-
   Upstream* owner_;  // none once it is closed
   tcp::socket socket_;
   asio::steady_timer timer_;  // of the dial
--- a/src/node/upstream.h
+++ b/src/node/upstream.h
@@ -63,8 +63,6 @@
   void forget(AttemptId attempt);
   void close_idle(Time unused_since);  // those last used then or before
   bool close_oldest_idle();
-  std::size_t idle_count() const { return idle_.size(); }
-  const std::string& name() const { return name_; }
 
  private:
   class Connection;
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -271,6 +271,49 @@
   EXPECT_TRUE(record.ended.empty());
 }
 
+TEST_F(OneServer, TheConnectionUsedLastIsUsedNextAndOldOnesAreClosed) {
+  send(0);
+  send(1);
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 2; }));
+  cache.peers[1]->write(response(200, "x"));
+  ASSERT_TRUE(wait_for([&] { return record.ended.size() == 1; }));
+  const Time first_idle = clock.now();
+  quiet(20);
+  cache.peers[0]->write(response(200, "x"));
+  ASSERT_TRUE(wait_for([&] { return record.ended.size() == 2; }));
+  send(2);
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 3; }));
+  cache.peers[0]->write(response(200, "x"));
+  ASSERT_TRUE(wait_for([&] { return record.ended.size() == 3; }));
+  EXPECT_EQ(record.ended[2].second, Outcome::served);
+  upstream.close_idle(first_idle);
+  ASSERT_TRUE(wait_for([&] { return cache.open() == 1; }));
+  EXPECT_TRUE(cache.peers[1]->ended);
+  EXPECT_EQ(cache.peers.size(), 2U);
+}
+
+TEST_F(OneServer, AnInterimAnswerIsPassedOverAndAClosingOneIsNotUsedAgain) {
+  send(0);
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  cache.peers[0]->write("HTTP/1.1 100 Continue\r\n\r\n");
+  quiet(30);
+  EXPECT_TRUE(record.ended.empty());
+  cache.peers[0]->write("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nuntil the end");
+  cache.peers[0]->close();
+  ASSERT_TRUE(wait_for([&] { return record.ended.size() == 1; }));
+  EXPECT_EQ(record.ended[0].second, Outcome::served);
+  EXPECT_EQ(record.connections, 0U);
+}
+
+TEST_F(OneServer, WithoutADescriptorAnAttemptNeverRan) {
+  record.most_connections = 0;
+  send(0);
+  EXPECT_TRUE(record.ended.empty());  // not from within send
+  ASSERT_TRUE(wait_for([&] { return record.ended.size() == 1; }));
+  EXPECT_EQ(record.ended[0].second, Outcome::connect_failed);
+  EXPECT_TRUE(cache.peers.empty());
+}
+
 TEST_F(OneServer, AServerThatStopsReadingHalfwayNeverRanTheRequest) {
   // More than the sockets between can hold, so that the last byte is never written.
   forward->method = boost::beast::http::verb::put;
@@ -453,6 +496,29 @@
   EXPECT_TRUE(read_goes_to(cache));
 }
 
+TEST_F(Watched, ASilentWatchIsGivenUpAndTheOldListStaysInUse) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  accept();
+  begin();
+  accept();  // without a line for longer than the empty ones are apart
+  EXPECT_TRUE(read_goes_to(cache));
+}
+
+TEST_F(Watched, AServerThatDrainsWhileAnAttemptIsHeldForItIsSentNothing) {
+  cache.answer = origin.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  accept();
+  begin();
+  chunk(list_json(2, false, {{"s-origin", origin.address(), "origin", "terminating"}}).dump() + "\n");
+  quiet(30);
+  const auto one = client();
+  one->ask(request_text("PUT", "/pay/1", "pay", "x", "1.0"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 503);
+  EXPECT_TRUE(origin.requests.empty());
+}
+
 // ---- The end
 
 TEST_F(Loopback, ToldToStopItAnswersWhatItTookAndWhatStillComes) {
