Tests keep their files apart, so that they may run side by side

Seen: Adapter.StopsAtMalformedInput failed once under ctest -j4. Cause: run() in adapter_test.cpp wrote every test's session to one file name; two tests in two processes read each other's. Ruled out the adapter: alone, the test passes, and its text has not changed. Mend: the process id in the file names, in node_test.cpp too.

--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -1,5 +1,6 @@
 // One scripted session with the adapter as a process.
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <cstdlib>
@@ -18,7 +19,9 @@
     "members C 1 2\nm s_1 a box 0 healthy 1 -\nm s_o a origin 0 healthy 1 -\n";
 
 int run(const std::string& input, std::string& output) {
-  const auto path = std::filesystem::path(::testing::TempDir()) / "streampick_session.txt";
+  // A file of its own for each process: tests run beside one another must not read each other's.
+  const auto path = std::filesystem::path(::testing::TempDir()) /
+                    ("streampick_session_" + std::to_string(::getpid()) + ".txt");
   std::ofstream(path) << input;
   const std::string command =
       std::string(STREAMPICK_ADAPTER) + " < '" + path.string() + "' 2> '" + path.string() + ".err'";
--- a/tests/node_test.cpp
+++ b/tests/node_test.cpp
@@ -587,7 +587,8 @@
 
 TEST(Program, ABadConfigurationEndsItWithOneLine) {
   const auto folder = std::filesystem::path(::testing::TempDir());
-  const std::string config = (folder / "streampick_config.json").string(), log = config + ".err";
+  const std::string config = (folder / ("streampick_config_" + std::to_string(::getpid()))).string();
+  const std::string log = config + ".err";
   const std::string run = "NODE_CONFIG='" + config + "' " STREAMPICK_ROUTER " 2> '" + log + "'";
   std::filesystem::remove(config);
   for (const std::string text : {"", "{", "{}", "[]", "{\"settings\": 5, \"listen\": 3}"}) {
@@ -602,7 +603,8 @@
 }
 
 TEST(Program, SigtermEndsItWithZero) {
-  const auto config = std::filesystem::path(::testing::TempDir()) / "streampick_term.json";
+  const auto config =
+      std::filesystem::path(::testing::TempDir()) / ("streampick_term_" + std::to_string(::getpid()));
   std::ofstream(config) << config_json("127.0.0.1:1", list_json(1, true, {})).dump();
   EXPECT_EQ(exit_code("NODE_CONFIG='" + config.string() +
                       "' timeout --preserve-status -s TERM 2 " STREAMPICK_ROUTER " 2> /dev/null"),
