--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -1,6 +1,7 @@
 #include "clients.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
@@ -16,10 +17,16 @@
 
 namespace {
 
-constexpr std::size_t kMostAhead = kLongestBody + kLongestHeader;  // read while a request is in work
-constexpr Time kSecond = 1'000'000;
+constexpr std::size_t kMostAhead = kLongestHeader;  // read while a request is in work
+constexpr std::size_t kScratch = 32 * 1024, kMostDiscarded = 1024 * 1024;
+constexpr Time kMs = 1'000, kSecond = 1'000 * kMs;
 constexpr Time kLongestWait = 3600 * kSecond;
-constexpr Time kStuck = 30 * kSecond, kIdle = 300 * kSecond, kLinger = 2 * kSecond;
+// A connection that has not sent its first whole request this long after it was accepted, or a later one
+// this long after its first byte, is owed an end within 3 s.
+constexpr Time kWholeRequest = 2'300 * kMs;
+constexpr Time kIdle = 10 * kSecond, kStuck = 10 * kSecond, kLinger = kSecond;
+constexpr Time kYoung = 50 * kMs;  // its first request may still be on its way
+constexpr std::chrono::milliseconds kSweepEvery{100}, kPause{50};
 
 std::optional<std::uint64_t> parse_hex(std::string_view text) {
   std::uint64_t value = 0;
@@ -32,10 +39,39 @@
 
 using Message = http::request<http::string_body>;
 
+// Seconds with decimals, as the protocol has it: no sign, exponent or name of a number.
+std::optional<Time> parse_seconds(std::string_view text) {
+  if (text.empty() || text.find_first_not_of("0123456789.") != std::string_view::npos) return std::nullopt;
+  const auto value = to_number(text);
+  if (!value || !std::isfinite(*value)) return std::nullopt;
+  return static_cast<Time>(std::min(*value * 1e6, static_cast<double>(kLongestWait)));
+}
+
 Reply problem(unsigned status, std::string_view why) {
   return {status, "text/plain", std::string(why) + "\n", 0};
 }
 
+// Where a message ends must be beyond doubt: what one side takes for its body another may take for the
+// next request. Beast refuses a length beside chunks and lengths that differ; it lets pass the same length
+// twice (as a list too), codings other than chunked (with the body left in the stream) and a coding in
+// HTTP/1.0.
+bool framing_is_plain(const Message& message) {
+  if (message.count(http::field::content_length) > 1) return false;
+  const std::string_view length = view(message[http::field::content_length]);
+  if (length.find_first_not_of("0123456789") != std::string_view::npos) return false;
+  const std::size_t codings = message.count(http::field::transfer_encoding);
+  if (codings == 0) return true;
+  return codings == 1 && message.version() == 11 && message.count(http::field::content_length) == 0 &&
+         beast::iequals(message[http::field::transfer_encoding], "chunked");
+}
+
+// A header that says two things says nothing; trailers count too.
+bool says_twice(const Message& message) {
+  constexpr std::array<const char*, 6> names = {"X-Txn", "X-Lane",     "X-Remaining",
+                                                "X-Org", "X-Estimate", "Idempotency-Key"};
+  return std::any_of(names.begin(), names.end(), [&](const char* name) { return message.count(name) > 1; });
+}
+
 // What the message asks for, or the answer that says what is wrong with it.
 std::variant<Incoming, Reply> read_request(Message& message, const Names& names) {
   const std::string_view target = view(message.target());
@@ -58,12 +94,14 @@
   const bool write = message.method() == http::verb::put;
   if (!write && message.method() != http::verb::get) return problem(405, "GET and PUT only");
 
+  if (says_twice(message)) return problem(400, "a header stands there twice");
   const std::string_view txn = view(message["X-Txn"]);
-  if (!parse_hex(txn)) return problem(400, "X-Txn must be 16 hex digits");
-  const auto remaining = to_number(view(message["X-Remaining"]));
-  if (!remaining || !std::isfinite(*remaining) || *remaining < 0)
-    return problem(400, "X-Remaining must be a number of seconds");
-  out.remaining = static_cast<Time>(std::min(*remaining * 1e6, static_cast<double>(kLongestWait)));
+  const auto id = parse_hex(txn);
+  if (!id) return problem(400, "X-Txn must be 16 hex digits");
+  out.txn = *id;
+  const auto remaining = parse_seconds(view(message["X-Remaining"]));
+  if (!remaining) return problem(400, "X-Remaining must be a number of seconds");
+  out.remaining = *remaining;
 
   out.has_key = !key.empty();
   if (out.has_key) out.key = parse_hex(key).value_or(hash_name(key));
@@ -84,25 +122,28 @@
 
 }  // namespace
 
-// One read is outstanding at all times, so that a client that goes away is noticed while its request
-// is in work; what it sends ahead waits in the buffer.
+// Its socket is waited on at all times, so that a client that goes away is noticed while its request is in
+// work; what it sends ahead waits in the buffer.
 class Clients::Session final : public Client, public std::enable_shared_from_this<Session> {
  public:
   Session(Clients& owner, tcp::socket socket)
       : owner_(&owner), socket_(std::move(socket)), since_(owner.clock_.now()) {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
     next_message();
   }
+  void placed(Queue::iterator place) { place_ = place; }
 
+  // The first request is most often there already.
   void read() {
-    if (reading_ || owner_ == nullptr || buffer_.size() > kMostAhead) return;
-    reading_ = true;
-    socket_.async_read_some(buffer_.prepare(kReadChunk),
-                            [self = shared_from_this()](error_code error, std::size_t got) {
-                              self->reading_ = false;
-                              self->received(error, got);
-                            });
+    if (owner_ == nullptr || waiting_ || buffer_.size() > kMostAhead + kLongestBody) return;
+    error_code error;
+    const std::size_t got = socket_.read_some(asio::buffer(owner_->scratch_), error);
+    if (error == asio::error::would_block) return wait();
+    if (error) return close();
+    received(got);
+    wait();
   }
 
   void reply(Reply reply) override {
@@ -110,21 +151,24 @@
     answer(std::move(reply));
   }
 
-  bool idle() const { return state_ == State::reading && !parser_->got_some() && buffer_.size() == 0; }
-  // A request that has begun to come in counts: its last byte may be here already.
-  bool unanswered() const { return state_ != State::lingering && !idle(); }
   Time since() const { return since_; }
-
-  void sweep(Time now) {
-    const Time age = now - since_;
-    if (state_ == State::asked) return;
-    if (age > (state_ == State::lingering ? kLinger : idle() ? kIdle : kStuck)) close();
+  bool unread() const {
+    error_code ignored;
+    return socket_.available(ignored) > 0;
+  }
+  bool silent() const { return buffer_.size() == 0 && !parser_->got_some(); }
+
+  // It has stood still for too long.
+  void expire() {
+    const bool half_asked = state_ == State::begun || (state_ == State::fresh && !silent());
+    if (!half_asked) return close();
+    last_ = true;
+    answer(problem(408, "the request did not come in time"));
   }
 
   // Between requests: what crosses it is sent once more by the client, on a new connection.
   void close_if_idle() {
-    error_code ignored;
-    if (idle() && socket_.available(ignored) == 0) close();
+    if ((state_ == State::idle || state_ == State::fresh) && silent() && !unread()) close();
   }
 
   void close() {
@@ -133,8 +177,9 @@
     error_code ignored;
     socket_.close(ignored);
     const RequestId gone = state_ == State::asked ? std::exchange(request_, 0) : 0;
+    const auto self = shared_from_this();
+    owner.closed(place_, state_);
     if (gone != 0) owner.requests_.client_gone(gone);
-    owner.closed(shared_from_this());
   }
   void detach() {
     owner_ = nullptr;
@@ -143,27 +188,49 @@
   }
 
  private:
-  enum class State : std::uint8_t { reading, asked, writing, lingering };
+  void enter(State state) {
+    Queue& to = owner_->queue(state);
+    to.splice(to.end(), owner_->queue(state_), place_);
+    state_ = state;
+    since_ = owner_->clock_.now();
+  }
 
   void next_message() {
     parser_.emplace();
     parser_->body_limit(kLongestBody);
     parser_->header_limit(kLongestHeader);
     parser_->eager(true);
-    state_ = State::reading;
+    told_to_go_on_ = checked_ = false;
   }
 
-  void received(error_code error, std::size_t got) {
-    if (owner_ == nullptr) return;
-    if (error) return close();
+  void wait() {
+    if (owner_ == nullptr || waiting_) return;
+    if (state_ == State::asked && buffer_.size() > kMostAhead) return;  // again once it is answered
+    waiting_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
+      self->waiting_ = false;
+      if (!error) self->read();
+    });
+  }
+
+  void received(std::size_t got) {
+    if (state_ == State::lingering) {
+      // A body of any size may still be on its way; what nobody reads is not worth much time.
+      discarded_ += got;
+      if (discarded_ > kMostDiscarded) close();
+      return;
+    }
+    const auto to = buffer_.prepare(got);
+    std::copy_n(owner_->scratch_.data(), got, static_cast<char*>(to.data()));
     buffer_.commit(got);
-    if (state_ == State::lingering) buffer_.consume(buffer_.size());
-    if (state_ == State::reading) parse();
-    read();
+    if (state_ != State::asked && state_ != State::writing) parse();
   }
 
+  bool reading() const { return state_ == State::fresh || state_ == State::idle || state_ == State::begun; }
+
   void parse() {
-    if (buffer_.size() > 0 && !parser_->got_some()) since_ = owner_->clock_.now();
+    // A first request's time counts from when its connection was accepted, however slowly it drips in.
+    if (state_ == State::idle && buffer_.size() > 0) enter(State::begun);
     while (buffer_.size() > 0 && !parser_->is_done()) {
       error_code failed;
       buffer_.consume(parser_->put(buffer_.data(), failed));
@@ -174,6 +241,10 @@
         return answer(problem(400, failed.message()));
       }
     }
+    if (parser_->is_header_done() && !std::exchange(checked_, true) && !framing_is_plain(parser_->get())) {
+      last_ = true;
+      return answer(problem(400, "where the message ends is in doubt"));
+    }
     if (parser_->is_done()) {
       asked();
     } else if (parser_->is_header_done() && !told_to_go_on_ &&
@@ -183,27 +254,36 @@
       error_code ignored;
       socket_.write_some(asio::buffer(go_on), ignored);
     }
+    if (buffer_.size() == 0) buffer_.shrink_to_fit();
   }
 
   void asked() {
-    told_to_go_on_ = false;
     Message message = parser_->release();
     version_ = message.version();
     last_ = !message.keep_alive();
     if (message.target() == "/up") {
-      if (message.method() != http::verb::get) return answer(problem(405, "GET only"));
+      if (message.method() != http::verb::get) return wrong(problem(405, "GET only"));
       return answer({owner_->draining_ ? 503U : 200U, "text/plain", "", 0});
     }
     auto read = read_request(message, owner_->names_);
-    if (Reply* wrong = std::get_if<Reply>(&read)) return answer(std::move(*wrong));
-    state_ = State::asked;
-    request_ = owner_->requests_.client_asked(shared_from_this(), std::get<Incoming>(std::move(read)));
+    if (Reply* problem_found = std::get_if<Reply>(&read)) return wrong(std::move(*problem_found));
+    enter(State::asked);
+    // It may be answered within the call, before its id is known here.
+    const RequestId request =
+        owner_->requests_.client_asked(shared_from_this(), std::get<Incoming>(std::move(read)));
+    if (request == 0) return wrong(problem(409, "a request with this X-Txn is open"));
+    if (state_ == State::asked) request_ = request;
+  }
+
+  // Whoever sends nonsense once mostly goes on: what it has sent behind is not looked at.
+  void wrong(Reply reply) {
+    last_ = true;
+    answer(std::move(reply));
   }
 
   void answer(Reply reply) {
-    state_ = State::writing;
+    enter(State::writing);
     request_ = 0;
-    since_ = owner_->clock_.now();
     last_ = last_ || owner_->draining_;
     response_ = {static_cast<http::status>(reply.status), version_};
     if (!reply.content_type.empty()) response_.set(http::field::content_type, reply.content_type);
@@ -219,20 +299,20 @@
   void written(error_code error) {
     if (owner_ == nullptr) return;
     if (error) return close();
-    since_ = owner_->clock_.now();
+    response_ = {};
     if (last_) {
       // A close with unread bytes would reset the connection and could take the answer with it: the
       // client is given the time to end it first.
-      state_ = State::lingering;
+      enter(State::lingering);
       buffer_.consume(buffer_.size());
-      error_code ignored;
-      socket_.shutdown(tcp::socket::shutdown_send, ignored);
-      return read();
+      buffer_.shrink_to_fit();
+      socket_.shutdown(tcp::socket::shutdown_send, error);
+      return wait();
     }
     next_message();
+    enter(State::idle);
     if (buffer_.size() > 0) parse();
-    if (owner_ == nullptr) return;
-    read();
+    wait();
   }
 
   Clients* owner_;  // none once it is closed
@@ -242,9 +322,11 @@
   http::response<http::string_body> response_;
   RequestId request_ = 0;
   Time since_;  // the last change of state
-  State state_ = State::reading;
+  std::size_t discarded_ = 0;
+  Queue::iterator place_;
+  State state_ = State::fresh;
   unsigned version_ = 11;
-  bool reading_ = false, last_ = false, told_to_go_on_ = false;
+  bool waiting_ = false, last_ = false, told_to_go_on_ = false, checked_ = false;
 };
 
 Clients::Clients(asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
@@ -255,21 +337,25 @@
       requests_(requests),
       acceptor_(io, listen, /*reuse_addr=*/true),
       pause_(io),
-      most_open_(most_open) {
+      sweep_(io),
+      most_open_(most_open),
+      scratch_(kScratch) {
   acceptor_.non_blocking(true);
   accept();
+  sweep();
 }
 
 Clients::~Clients() {
-  for (const auto& session : sessions_) session->detach();
+  for (const Queue& all : queues_)
+    for (const auto& session : all) session->detach();
 }
 
 tcp::endpoint Clients::address() const { return acceptor_.local_endpoint(); }
 
 void Clients::accept() {
-  if (accepting_ || !acceptor_.is_open()) return;
-  // At the limit the next ones wait in the listener's queue until a connection ends.
-  if (sessions_.size() >= most_open_ && !close_idle_one()) return;
+  if (accepting_ || pausing_ || !acceptor_.is_open()) return;
+  // At the limit the next ones wait in the listener's queue until there is room.
+  if (open_ >= most_open_ && !make_room()) return try_again_soon();
   accepting_ = true;
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
@@ -278,66 +364,109 @@
   });
 }
 
+void Clients::take(tcp::socket socket) {
+  const auto session = std::make_shared<Session>(*this, std::move(socket));
+  ++open_;
+  Queue& fresh = queue(State::fresh);
+  session->placed(fresh.insert(fresh.end(), session));
+  session->read();
+}
+
 void Clients::accepted(const error_code& error, tcp::socket socket) {
   if (!error) {
-    const auto session = std::make_shared<Session>(*this, std::move(socket));
-    sessions_.insert(session);
-    session->read();
+    take(std::move(socket));
     return accept();
   }
   if (error == asio::error::connection_aborted) return accept();
   // Out of descriptors: the listener stays readable, and to try again at once would only spin.
   log("accept: " + error.message());
-  close_idle_one();
-  pause_.expires_after(std::chrono::milliseconds(50));
+  make_room();
+  try_again_soon();
+}
+
+void Clients::try_again_soon() {
+  pausing_ = true;
+  pause_.expires_after(kPause);
   pause_.async_wait([this](error_code cancelled) {
-    if (!cancelled) accept();
+    if (cancelled) return;
+    pausing_ = false;
+    accept();
   });
 }
 
-bool Clients::close_idle_one() {
-  std::shared_ptr<Session> oldest;
-  for (const auto& session : sessions_)
-    if (session->idle() && (!oldest || session->since() < oldest->since())) oldest = session;
-  if (oldest) oldest->close();
-  return oldest != nullptr;
+// Connections that say nothing come by hundreds and must not push out clients that ask: what has its
+// answer goes first, then what never asked, oldest first. While some of those are too young to tell, the
+// next ones wait; only when there are none does a client between two requests have to go.
+bool Clients::make_room() {
+  const auto end_first = [this](State state) {
+    for (const auto& session : queue(state)) {
+      if (session->unread()) continue;
+      session->close();
+      return true;
+    }
+    return false;
+  };
+  if (!queue(State::lingering).empty()) {
+    const auto session = queue(State::lingering).front();
+    session->close();
+    return true;
+  }
+  if (!queue(State::fresh).empty()) {
+    if (clock_.now() - queue(State::fresh).front()->since() < kYoung) return false;
+    return end_first(State::fresh);
+  }
+  return end_first(State::idle) || end_first(State::begun);
 }
 
-void Clients::closed(const std::shared_ptr<Session>& session) {
-  sessions_.erase(session);
-  if (sessions_.size() + 1 == most_open_) accept();
+void Clients::closed(Queue::iterator place, State state) {
+  queue(state).erase(place);
+  if (--open_ + 1 == most_open_) accept();
 }
 
 void Clients::drain() {
   draining_ = true;
-  const auto all = sessions_;
-  for (const auto& session : all) session->close_if_idle();
+  for (const State state : {State::fresh, State::idle}) {
+    const Queue all = queue(state);
+    for (const auto& session : all) session->close_if_idle();
+  }
 }
 
 void Clients::stop_accepting() {
   // What the kernel has accepted counts as ours: the queue is emptied before the listener closes.
   error_code error;
-  while (acceptor_.is_open() && sessions_.size() < most_open_) {
+  while (acceptor_.is_open() && open_ < most_open_) {
     tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (error) break;
-    const auto session = std::make_shared<Session>(*this, std::move(socket));
-    sessions_.insert(session);
-    session->read();
+    take(std::move(socket));
   }
   acceptor_.close(error);
   pause_.cancel();
 }
 
 void Clients::sweep() {
-  const auto all = sessions_;
-  for (const auto& session : all) session->sweep(clock_.now());
-  accept();
+  const Time now = clock_.now();
+  constexpr std::array<std::pair<State, Time>, 5> limits = {{{State::fresh, kWholeRequest},
+                                                             {State::begun, kWholeRequest},
+                                                             {State::idle, kIdle},
+                                                             {State::writing, kStuck},
+                                                             {State::lingering, kLinger}}};
+  for (const auto& [state, longest] : limits)
+    while (!queue(state).empty() && now - queue(state).front()->since() > longest) {
+      const auto session = queue(state).front();
+      session->expire();
+    }
+  sweep_.expires_after(kSweepEvery);
+  sweep_.async_wait([this](error_code cancelled) {
+    if (!cancelled) sweep();
+  });
 }
 
 std::size_t Clients::unanswered() const {
-  return static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(),
-                                                [](const auto& session) { return session->unanswered(); }));
+  const auto half_asked = static_cast<std::size_t>(
+      std::count_if(queue(State::fresh).begin(), queue(State::fresh).end(),
+                    [](const auto& session) { return !session->silent() || session->unread(); }));
+  return half_asked + queue(State::begun).size() + queue(State::asked).size() + queue(State::writing).size();
 }
 
 }  // namespace streampick::node
--- a/src/node/discovery.cpp
+++ b/src/node/discovery.cpp
@@ -16,7 +16,9 @@
 
 namespace {
 
-constexpr milliseconds kSilence{5'000};  // an empty line comes every 2 s
+// An empty line comes every 2 s. News counts as told 4 to 6 s after it is out, whether or not it has
+// arrived, so a watch that says nothing must be given up well before that.
+constexpr milliseconds kSilence{2'800}, kDialTimeOut{1'000};
 constexpr milliseconds kBackoffFirst{100}, kBackoffMost{2'000};
 constexpr std::size_t kLongestLine = 4 * 1024 * 1024;
 
@@ -30,10 +32,11 @@
   }
 
   void start() {
-    listen_for_silence();
+    listen_for_silence(kDialTimeOut);
     socket_.async_connect(owner_->address_, [self = shared_from_this()](error_code error) {
       if (self->owner_ == nullptr) return;
       if (error) return self->end(error.message());
+      self->listen_for_silence(kSilence);
       self->ask();
     });
   }
@@ -47,8 +50,8 @@
 
  private:
   // A machine that is cut off says nothing at all: only the missing empty lines tell.
-  void listen_for_silence() {
-    silence_.expires_after(kSilence);
+  void listen_for_silence(milliseconds longest) {
+    silence_.expires_after(longest);
     silence_.async_wait([self = shared_from_this()](error_code cancelled) {
       if (!cancelled && self->owner_ != nullptr) self->end("silent for too long");
     });
@@ -76,7 +79,7 @@
     if (owner_ == nullptr) return;
     if (error) return end(error.message());
     buffer_.commit(got);
-    listen_for_silence();
+    listen_for_silence(kSilence);
     while (buffer_.size() > 0 && !parser_.is_done()) {
       error_code failed;
       buffer_.consume(parser_.put(buffer_.data(), failed));
@@ -143,6 +146,17 @@
   watch_->start();
 }
 
+void Discovery::move_to(const tcp::endpoint& address) {
+  if (address == address_) return;
+  log("discovery is now at " + address.address().to_string() + ":" + std::to_string(address.port()));
+  address_ = address;
+  revision_ = 0;
+  backoff_ = kBackoffFirst;
+  retry_.cancel();
+  ++turn_;
+  watch();
+}
+
 void Discovery::stop() {
   stopped_ = true;
   if (watch_) watch_->close();
@@ -153,6 +167,9 @@
   if (text.find_first_not_of(" \r\t") == std::string::npos) return;
   try {
     const MemberList list = parse_members(text, names_);
+    // Changes from before what is known would undo later ones, and bring back a server that has gone.
+    // A whole list is taken all the same: a discovery that started anew counts from the beginning.
+    if (list.revision < revision_ && !list.complete) return;
     revision_ = list.revision;
     backoff_ = kBackoffFirst;
     reader_.list_came(list);
@@ -172,8 +189,8 @@
       backoff_ * std::uniform_real_distribution<double>(0.5, 1.0)(random_));
   backoff_ = std::min(backoff_ * 2, kBackoffMost);
   retry_.expires_after(wait);
-  retry_.async_wait([this](error_code cancelled) {
-    if (!cancelled) watch();
+  retry_.async_wait([this, turn = turn_](error_code cancelled) {
+    if (!cancelled && turn == turn_) watch();  // its wait may have been over when the address changed
   });
 }
 
--- a/src/node/discovery.h
+++ b/src/node/discovery.h
@@ -30,6 +30,8 @@
   Discovery& operator=(const Discovery&) = delete;
 
   void watch();
+  // Another discovery, whose revisions may start anew: it is asked at once, for all it has.
+  void move_to(const boost::asio::ip::tcp::endpoint& address);
   void stop();
 
  private:
@@ -42,6 +44,7 @@
   boost::asio::ip::tcp::endpoint address_;
   std::uint64_t revision_;
   bool again_, stopped_ = false;
+  std::uint64_t turn_ = 0;  // of addresses
   ListReader& reader_;
   std::minstd_rand random_;
   std::shared_ptr<Watch> watch_;
--- a/src/node/host.cpp
+++ b/src/node/host.cpp
@@ -35,6 +35,7 @@
   const std::size_t each = (sockets - kOtherDescriptors) / 2;
   most_connections = each;
   dial_time_out = settings.settings.config.dial_time_out;
+  for (const RequestClass& kind : settings.settings.config.classes) patience_.push_back(kind.deadline);
   router_.emplace(settings.settings.config, settings.settings.seed, clock_.now(), *this);
   discovery_ = std::make_unique<Discovery>(io_, names_, settings.discovery, settings.known.revision,
                                            !must_ask_, settings.settings.seed, *this);
@@ -47,6 +48,12 @@
 
 Host::~Host() = default;
 
+void Host::reload(const NodeSettings& settings) {
+  log("configuration read again");
+  discovery_->move_to(settings.discovery);
+  settle();
+}
+
 // ---- The module's actions
 
 void Host::send(RequestId request, ServerId server, Time time_out) {
@@ -97,11 +104,18 @@
 // ---- Clients
 
 RequestId Host::client_asked(const std::shared_ptr<Client>& client, Incoming incoming) {
+  // Two open requests of one id can't be told apart further on. An attempt may outlive its request, and
+  // until it has ended the id is taken.
+  if (!txns_.insert(incoming.txn).second) return 0;
   const Time now = clock_.now();
   const RequestId id = ++last_request_;
   ++counts_.asked;
+  // No client of the class waits longer, whatever it says.
+  const Time patience = patience_.at(incoming.request_class);
+  if (patience > 0) incoming.remaining = std::min(incoming.remaining, patience);
   Open& open = requests_[id];
   open.client = client;
+  open.txn = incoming.txn;
   open.forward = std::move(incoming.forward);
   // A router told to stop is killed in the end: what it still takes must be answered before that.
   const Time gives_up = std::min(now + incoming.remaining, drain_end_);
@@ -190,6 +204,7 @@
   if (std::any_of(attempts.begin(), attempts.end(), [](const Attempt& attempt) { return attempt.live; }))
     return;
   expiries_.erase({found->second.guard, request, kNone});
+  txns_.erase(found->second.txn);
   requests_.erase(found);
 }
 
@@ -265,7 +280,6 @@
     if (keep_alive_ > 0)
       for (const auto& upstream : upstreams_)
         upstream->close_idle(clock_.now() - std::max(keep_alive_ - 2 * kSecond, keep_alive_ * 8 / 10));
-    clients_->sweep();
     static constexpr int kSummaryEvery = 10;
     if (clock_.now() / kSecond % kSummaryEvery == 0) {
       std::string text = summary();
--- a/src/node/host.h
+++ b/src/node/host.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <tuple>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "clients.h"
@@ -38,6 +39,8 @@
 
   // Goes on accepting for a little, finishes what was taken, then calls `done`.
   void drain(std::function<void()> done);
+  // Takes what a running router can take from a new configuration: the address of discovery.
+  void reload(const NodeSettings& settings);
   boost::asio::ip::tcp::endpoint address() const { return clients_->address(); }
   const Counts& counts() const { return counts_; }
   std::string summary() const;
@@ -66,6 +69,7 @@
   struct Open {
     std::shared_ptr<Client> client;  // none once it has its final answer or has gone
     std::shared_ptr<const Forward> forward;
+    std::uint64_t txn = 0;
     Time deadline = 0, guard = 0;
     std::vector<Attempt> attempts;
     bool over = false;
@@ -101,6 +105,8 @@
   std::vector<std::unique_ptr<Upstream>> upstreams_;  // by ServerId
   std::unordered_map<std::string, ServerId> ids_;
   std::unordered_map<RequestId, Open> requests_;
+  std::unordered_set<std::uint64_t> txns_;  // of the open ones
+  std::vector<Time> patience_;              // by class: the longest that its clients wait
   std::set<Expiry> expiries_;
   std::deque<Ended> ended_;
   RequestId last_request_ = 0;
--- /dev/null
+++ b/tests/clients_test.cpp
@@ -0,0 +1,271 @@
+// What clients send and how many there are of them, over loopback sockets.
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include "loopback.h"
+
+namespace streampick::node::test {
+namespace {
+
+// ---- Bad input
+
+TEST_F(Loopback, BadRequestsAreToldApart) {
+  start();
+  const std::vector<std::pair<std::string, int>> cases = {
+      {"nonsense\r\n\r\n", 400},
+      {"GET /read/1 HTTP/1.1\r\nX-Lane: read\r\nX-Remaining: 1\r\n\r\n", 400},
+      {"GET /read/1 HTTP/1.1\r\nX-Txn: xyz\r\nX-Lane: read\r\nX-Remaining: 1\r\n\r\n", 400},
+      {"GET /read/1 HTTP/1.1\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Remaining: 1\r\n\r\n", 400},
+      {"GET /read/1 HTTP/1.1\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Lane: read\r\n\r\n", 400},
+      {request_text("GET", "/read/1", "read", "", "soon"), 400},
+      {request_text("GET", "/read/1", "read", "", "nan"), 400},
+      {request_text("GET", "/read/1", "read", "", "-1"), 400},
+      {request_text("GET", "/song/1", "song"), 400},
+      {request_text("GET", "/read/1", "save"), 400},
+      {request_text("GET", "/song/1", "read"), 404},
+      {request_text("GET", "/", "read"), 404},
+      {request_text("POST", "/read/1", "read", "x"), 405},
+      {request_text("DELETE", "/read/1", "read"), 405},
+      {request_text("PUT", "/save/1", "save", std::string(64 * 1024 + 1, 'x')), 413},
+      {"GET /up HTTP/1.1\r\n\r\n", 200},
+      {"PUT /up HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 405},
+  };
+  for (const auto& [text, status] : cases) {
+    const auto one = client();
+    one->ask(text);
+    ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; })) << text.substr(0, 200);
+    EXPECT_EQ(one->status(), status) << text.substr(0, 200);
+  }
+  EXPECT_TRUE(cache.requests.empty() && origin.requests.empty());
+}
+
+TEST_F(Loopback, ABodyOf64KiBAndRequestsInOneSegmentAreTaken) {
+  origin.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  const auto one = client();
+  const std::string put = request_text("PUT", "/save/1", "save", std::string(64 * 1024, 'x'));
+  one->ask(put + put);
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 2; }));
+  EXPECT_EQ(one->status(0), 200);
+  EXPECT_EQ(one->status(1), 200);
+}
+
+// Each of these lets two readers see two different messages; in most a second request hides.
+TEST_F(Loopback, WhereAMessageEndsMustBeBeyondDoubt) {
+  cache.answer = origin.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  const std::string hidden = request_text("GET", "/read/77", "read");
+  const std::string chunks = "5\r\nvalue\r\n0\r\n\r\n";
+  const auto put = [](const std::string& headers) {
+    std::string text = request_text("PUT", "/save/1", "save", "", "8.0", "Idempotency-Key: k1\r\n" + headers);
+    return text;
+  };
+  const std::vector<std::string> forms = {
+      put("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + chunks + hidden,
+      put("Transfer-Encoding: chunked\r\nContent-Length: 15\r\n") + chunks + hidden,
+      put("Transfer-Encoding: gzip, chunked\r\n") + chunks + hidden,
+      put("Transfer-Encoding: gzip\r\n") + hidden,
+      put("Transfer-Encoding: chunked, gzip\r\n") + chunks + hidden,
+      put("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n") + chunks + hidden,
+      put("Transfer-Encoding: identity\r\n") + hidden,
+      put("Transfer-Encoding : chunked\r\n") + chunks + hidden,
+      put("Content-Length: 5\r\nContent-Length: 5\r\n") + "value" + hidden,
+      put("Content-Length: 5\r\nContent-Length: 0\r\n") + "value" + hidden,
+      put("Content-Length: 5, 5\r\n") + "value" + hidden,
+      put("Content-Length: -5\r\n") + "value" + hidden,
+      put("Content-Length: +5\r\n") + "value" + hidden,
+      put("Content-Length: 0x5\r\n") + "value" + hidden,
+      put("Content-Length: 99999999999999999999999\r\n") + "value" + hidden,
+      put("Transfer-Encoding: chunked\r\n") + "-5\r\nvalue\r\n0\r\n\r\n" + hidden,
+      put("Transfer-Encoding: chunked\r\n") + "fffffffffffffffff\r\nvalue\r\n0\r\n\r\n" + hidden,
+  };
+  for (const std::string& form : forms) {
+    const auto one = client();
+    one->ask(form);
+    ASSERT_TRUE(wait_for([&] { return one->peer->ended; })) << form;
+    EXPECT_EQ(one->answers.size(), 1U) << form;
+    EXPECT_EQ(one->status(), 400) << form;
+  }
+  std::string old = put("Transfer-Encoding: chunked\r\n") + chunks + hidden;
+  old.replace(old.find("HTTP/1.1"), 8, "HTTP/1.0");
+  const auto one = client();
+  one->ask(old);
+  ASSERT_TRUE(wait_for([&] { return one->peer->ended; }));
+  EXPECT_EQ(one->status(), 400);
+  quiet();
+  EXPECT_TRUE(cache.requests.empty() && origin.requests.empty());
+  // Plain chunks are a body like any other.
+  const auto two = client();
+  two->ask(put("Transfer-Encoding: chunked\r\n") + chunks);
+  ASSERT_TRUE(wait_for([&] { return two->answers.size() == 1; }));
+  EXPECT_EQ(two->status(), 200);
+  EXPECT_EQ(origin.requests.at(0).substr(origin.requests[0].size() - 5), "value");
+}
+
+TEST_F(Loopback, AHeaderThatStandsThereTwiceIsRefusedAlsoAsATrailer) {
+  start();
+  const std::string chunked = "Idempotency-Key: k1\r\nTransfer-Encoding: chunked\r\n";
+  const std::vector<std::string> forms = {
+      request_text("GET", "/read/1", "read", "", "8.0", "X-Txn: 0000000000000001\r\n"),
+      request_text("GET", "/read/1", "read", "", "8.0", "X-Lane: save\r\n"),
+      request_text("GET", "/read/1", "read", "", "8.0", "X-Remaining: 1\r\n"),
+      request_text("GET", "/read/1", "read", "", "8.0", "X-Org: a\r\nX-Org: b\r\n"),
+      request_text("PUT", "/save/1", "save", "x", "8.0", "Idempotency-Key: a\r\nIdempotency-Key: b\r\n"),
+      request_text("PUT", "/save/1", "save", "", "8.0", chunked) +
+          "1\r\nx\r\n0\r\nX-Txn: 0000000000000001\r\n\r\n",
+  };
+  for (const std::string& form : forms) {
+    const auto one = client();
+    one->ask(form);
+    ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; })) << form;
+    EXPECT_EQ(one->status(), 400) << form;
+  }
+  quiet();
+  EXPECT_TRUE(cache.requests.empty() && origin.requests.empty());
+}
+
+// Forwarded, it would run beside the first and its answer could be taken for the first one's.
+TEST_F(Loopback, ASecondRequestWithAnOpenIdIsTurnedAwayAndTheFirstGoesOn) {
+  start();
+  const auto first = client(), second = client();
+  first->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  second->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return second->answers.size() == 1; }));
+  EXPECT_EQ(second->status(), 409);
+  quiet();
+  EXPECT_EQ(cache.requests.size(), 1U);
+  cache.peers[0]->write(response(200, "first"));
+  ASSERT_TRUE(wait_for([&] { return first->answers.size() == 1; }));
+  EXPECT_EQ(first->body(), "first");
+  first->ask(kRead);  // all of it has ended: the id is free
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 2; }));
+}
+
+TEST_F(Loopback, AnIdIsOpenWhileAnAttemptForItIsOut) {
+  cache.answer = [](const std::string&) { return response(404); };
+  start();
+  auto first = client();
+  first->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return origin.requests.size() == 1; }));
+  first.reset();  // the origin's work goes on for the caches
+  ASSERT_TRUE(wait_for([&] { return host->counts().withdrawn == 1; }));
+  const auto second = client();
+  second->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return second->answers.size() == 1; }));
+  EXPECT_EQ(second->status(), 409);
+}
+
+// The module's timers and the origin's work would outlive the request by what a client claims.
+TEST_F(Loopback, NoClientWaitsLongerThanItsClassDoes) {
+  start();
+  const auto one = client();
+  one->ask(request_text("GET", "/read/1", "read", "", "3600"));
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  EXPECT_NE(cache.requests[0].find("X-Remaining: 7."), std::string::npos) << cache.requests[0];
+}
+
+TEST_F(Loopback, WhatComesBehindABadRequestIsNotTaken) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  const auto one = client();
+  one->ask(request_text("GET", "/song/1", "song") + request_text("GET", "/read/1", "read"));
+  ASSERT_TRUE(wait_for([&] { return one->peer->ended; }));
+  EXPECT_EQ(one->answers.size(), 1U);
+  EXPECT_TRUE(cache.requests.empty());
+}
+
+// ---- Limits
+
+TEST_F(Loopback, WithNoDescriptorLeftTheListenerWaitsAndGoesOn) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  const auto one = client();
+  one->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  one->peer->close();
+  quiet(50);
+  const auto two = client();  // in the listener's queue: the loop has not run since
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int next = dup(0);
+  close(next);
+  rlimit none = before;
+  none.rlim_cur = static_cast<rlim_t>(next);
+  setrlimit(RLIMIT_NOFILE, &none);
+  std::size_t handlers = 0;
+  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+  while (std::chrono::steady_clock::now() < until) {
+    clock.next_batch();
+    io.restart();
+    handlers += io.run_one_for(std::chrono::milliseconds(10));
+  }
+  setrlimit(RLIMIT_NOFILE, &before);
+  EXPECT_LT(handlers, 200U);  // it did not spin
+  two->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return two->answers.size() == 1; }));
+  EXPECT_EQ(two->status(), 200);
+}
+
+TEST_F(Loopback, MoreClientsThanDescriptorsTakeTheIdleOnesPlaces) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  nlohmann::json config =
+      config_json(text_of(discovery.local_endpoint()),
+                  list_json(1, true, {{"s-1", cache.address()}, {"s-o", origin.address(), "origin"}}));
+  config["limits"]["sockets"] = 64;  // 16 of them for clients
+  settings = parse_settings(config.dump());
+  host = std::make_unique<Host>(io, clock, settings);
+  std::vector<std::unique_ptr<FakeClient>> all;
+  for (int i = 0; i < 40; ++i) {
+    all.push_back(client());
+    all.back()->ask(kRead);
+    ASSERT_TRUE(wait_for([&] { return all.back()->answers.size() == 1; })) << i;
+  }
+}
+
+// Their places are not for the taking: both are owed an end within 3 s of connecting.
+TEST_F(Loopback, ConnectionsThatSayNothingOrHalfARequestAreEnded) {
+  start();
+  const auto silent = client(), half = client(), dripping = client();
+  half->ask(kRead.substr(0, 40));
+  const auto begin = std::chrono::steady_clock::now();
+  std::size_t dripped = 0;
+  ASSERT_TRUE(wait_for([&] {
+    if (dripped + 1 < kRead.size() && !dripping->peer->ended) dripping->ask(kRead.substr(dripped++, 1));
+    return silent->peer->ended && half->peer->ended && dripping->peer->ended;
+  }));
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(9));
+  EXPECT_TRUE(silent->answers.empty());
+  ASSERT_EQ(half->answers.size(), 1U);
+  EXPECT_EQ(half->status(), 408);
+  EXPECT_TRUE(cache.requests.empty());
+}
+
+TEST_F(Loopback, ConnectionsThatSayNothingDoNotPushOutAClientThatAsks) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  nlohmann::json config =
+      config_json(text_of(discovery.local_endpoint()),
+                  list_json(1, true, {{"s-1", cache.address()}, {"s-o", origin.address(), "origin"}}));
+  config["limits"]["sockets"] = 64;  // 16 of them for clients
+  settings = parse_settings(config.dump());
+  host = std::make_unique<Host>(io, clock, settings);
+  const auto usual = client();
+  usual->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return usual->answers.size() == 1; }));
+  std::vector<std::unique_ptr<FakeClient>> silent;
+  for (int i = 0; i < 60; ++i) {
+    silent.push_back(client());
+    if (i % 2 == 0) silent.back()->ask("GET /read/1 HT");
+  }
+  quiet(400);
+  usual->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return usual->answers.size() == 2; }));
+  const auto late = client();
+  late->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return late->answers.size() == 1; }));
+  EXPECT_EQ(late->status(), 200);
+  EXPECT_FALSE(usual->peer->ended);
+}
+
+}  // namespace
+}  // namespace streampick::node::test
--- /dev/null
+++ b/tests/discovery_test.cpp
@@ -0,0 +1,168 @@
+// The watch on discovery over loopback sockets.
+#include "loopback.h"
+
+namespace streampick::node::test {
+namespace {
+
+class Watched : public Loopback {
+ protected:
+  void accept() {
+    tcp::socket socket(io);
+    bool came = false;
+    discovery.async_accept(socket, [&](error_code error) { came = !error; });
+    ASSERT_TRUE(wait_for([&] { return came; }));
+    agent = std::make_shared<Peer>(std::move(socket));
+    agent->read([](Peer&) {});
+    ASSERT_TRUE(wait_for([&] { return agent->got.find("\r\n\r\n") != std::string::npos; }));
+  }
+  void begin() { agent->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); }
+  void chunk(const std::string& text) {
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    agent->write(size.data() + text + "\r\n");
+  }
+  // The server that a new read goes to.
+  bool read_goes_to(FakeServer& server) {
+    const std::size_t before = server.requests.size();
+    const auto one = client();
+    one->ask(kRead);
+    return wait_for([&] { return !one->answers.empty(); }) && server.requests.size() == before + 1;
+  }
+  std::shared_ptr<Peer> agent;
+};
+
+TEST_F(Watched, ChangesAndWholeListsAreTakenThoughTheirLinesAreSplit) {
+  cache.answer = origin.answer = [](const std::string&) { return response(200, "x"); };
+  FakeServer other(io, [](const std::string&) { return response(200, "y"); });
+  start();
+  accept();
+  EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=1 ", 0), 0U);
+  EXPECT_TRUE(read_goes_to(cache));
+  begin();
+  const std::string drains =
+      list_json(2, false, {{"s-cache", cache.address(), "box", "terminating"}, {"s-new", other.address()}})
+          .dump() +
+      "\n";
+  chunk(drains.substr(0, 30));
+  quiet(30);
+  chunk(drains.substr(30) + "\n\n");
+  quiet(30);
+  EXPECT_TRUE(read_goes_to(other));
+  // A whole list without s-new: it is gone. s-cache is back, elsewhere.
+  FakeServer moved(io, [](const std::string&) { return response(200, "z"); });
+  chunk(list_json(3, true, {{"s-cache", moved.address()}, {"s-origin", origin.address(), "origin"}}).dump() +
+        "\n");
+  quiet(30);
+  EXPECT_TRUE(read_goes_to(moved));
+}
+
+TEST_F(Watched, AWatchThatEndsOrSpeaksNonsenseIsSetUpAgainAfterTheLastRevision) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  accept();
+  begin();
+  chunk(list_json(7, false, {}).dump() + "\n");
+  quiet(30);
+  agent->close();
+  accept();
+  EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=7 ", 0), 0U);
+  EXPECT_TRUE(read_goes_to(cache));
+  begin();
+  chunk("{\"revision\": 8, \"complete\": true, \"members\": [{\"id\": 5}]}\n");
+  accept();
+  EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=7 ", 0), 0U);
+  EXPECT_TRUE(read_goes_to(cache));
+  agent->write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  accept();
+  EXPECT_TRUE(read_goes_to(cache));
+}
+
+TEST_F(Watched, ASilentWatchIsGivenUpAndTheOldListStaysInUse) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  accept();
+  begin();
+  accept();  // without a line for longer than the empty ones are apart
+  EXPECT_TRUE(read_goes_to(cache));
+}
+
+TEST_F(Watched, AServerThatDrainsWhileAnAttemptIsHeldForItIsSentNothing) {
+  cache.answer = origin.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  accept();
+  begin();
+  chunk(list_json(2, false, {{"s-origin", origin.address(), "origin", "terminating"}}).dump() + "\n");
+  quiet(30);
+  const auto one = client();
+  one->ask(request_text("PUT", "/pay/1", "pay", "x", "1.0"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 503);
+  EXPECT_TRUE(origin.requests.empty());
+}
+
+// Changes build on one another: older ones would bring back what has gone since.
+TEST_F(Watched, ChangesOlderThanWhatIsKnownAreNotTaken) {
+  cache.answer = origin.answer = [](const std::string&) { return response(200, "x"); };
+  FakeServer other(io, [](const std::string&) { return response(200, "y"); });
+  start();
+  accept();
+  begin();
+  chunk(list_json(5, false, {{"s-cache", cache.address(), "box", "terminated"}, {"s-new", other.address()}})
+            .dump() +
+        "\n" +
+        list_json(4, false, {{"s-cache", cache.address()}, {"s-new", other.address(), "box", "terminated"}})
+            .dump() +
+        "\n");
+  quiet(30);
+  EXPECT_TRUE(read_goes_to(other));
+  agent->close();
+  accept();
+  EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=5 ", 0), 0U);
+}
+
+TEST_F(Watched, AReloadWatchesTheNewDiscoveryAtOnceAndTheOldListServesUntilItsOwnIsIn) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  FakeServer other(io, [](const std::string&) { return response(200, "y"); });
+  start();
+  accept();
+  begin();
+  chunk(list_json(90, false, {}).dump() + "\n");
+  quiet(30);
+  const auto old = agent;
+  tcp::acceptor next(io, any_port());
+  NodeSettings anew = settings;
+  anew.discovery = next.local_endpoint();
+  host->reload(anew);
+  std::swap(discovery, next);
+  accept();
+  // Its revisions are its own.
+  EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=0 ", 0), 0U);
+  ASSERT_TRUE(wait_for([&] { return old->ended; }));
+  EXPECT_TRUE(read_goes_to(cache));
+  begin();
+  chunk(list_json(2, false, {{"s-cache", cache.address(), "box", "terminating"}, {"s-new", other.address()}})
+            .dump() +
+        "\n");
+  quiet(30);
+  EXPECT_TRUE(read_goes_to(other));
+  host->reload(anew);  // nothing new: the watch goes on
+  quiet();
+  EXPECT_FALSE(agent->ended);
+}
+
+TEST_F(Watched, AReloadToADiscoveryThatIsNotUpIsTriedAgain) {
+  start();
+  accept();
+  tcp::acceptor next(io, any_port());
+  NodeSettings anew = settings;
+  anew.discovery = next.local_endpoint();
+  next.close();
+  host->reload(anew);
+  quiet();
+  discovery = tcp::acceptor(io, anew.discovery);
+  accept();
+  EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=0 ", 0), 0U);
+}
+
+}  // namespace
+}  // namespace streampick::node::test
--- /dev/null
+++ b/tests/host_test.cpp
@@ -0,0 +1,223 @@
+// Requests from end to end over loopback sockets: answers, outcomes, the end.
+#include <unistd.h>
+
+#include "loopback.h"
+
+namespace streampick::node::test {
+namespace {
+
+// ---- Answers
+
+TEST_F(Loopback, AReadIsAnsweredWithTheServersBodyByteForByte) {
+  std::string body;
+  for (int i = 0; i < 3000; ++i) body += static_cast<char>(i % 256);
+  cache.answer = [&](const std::string&) { return response(200, body); };
+  start();
+  const auto one = client();
+  one->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 200);
+  EXPECT_EQ(one->body(), body);
+  ASSERT_EQ(cache.requests.size(), 1U);
+  EXPECT_EQ(cache.requests[0].rfind("GET /read/7f3a9c21e0b4d655 HTTP/1.1\r\n", 0), 0U);
+  const std::string txn = kRead.substr(kRead.find("X-Txn: "), 23);
+  EXPECT_NE(cache.requests[0].find(txn + "\r\n"), std::string::npos);
+  EXPECT_NE(cache.requests[0].find("X-Remaining: 7.9"), std::string::npos);
+}
+
+TEST_F(Loopback, AMissGoesToTheOriginAndAWriteGoesThereAtOnceWithItsKeyAndBody) {
+  cache.answer = [](const std::string&) { return response(404); };
+  origin.answer = [](const std::string&) { return response(200, "from the origin"); };
+  start();
+  const auto one = client();
+  one->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->body(), "from the origin");
+  one->ask(
+      request_text("PUT", "/save/7f3a9c21e0b4d655?v=2", "save", "value", "8", "Idempotency-Key: k1\r\n"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 2; }));
+  EXPECT_EQ(cache.requests.size(), 1U);
+  ASSERT_EQ(origin.requests.size(), 2U);
+  EXPECT_EQ(origin.requests[1].rfind("PUT /save/7f3a9c21e0b4d655?v=2 ", 0), 0U);
+  EXPECT_NE(origin.requests[1].find("Idempotency-Key: k1\r\n"), std::string::npos);
+  EXPECT_EQ(origin.requests[1].substr(origin.requests[1].size() - 5), "value");
+  EXPECT_EQ(origin.peers.size(), 1U);
+}
+
+TEST_F(Loopback, WhatNobodyAnswersIsEndedOnceByTheModuleAndItsConnectionIsClosed) {
+  start();  // the peers hold whatever comes
+  const auto one = client();
+  one->ask(request_text("GET", "/read/1", "read", "", "0.6"));
+  ASSERT_TRUE(wait_for([&] { return !one->answers.empty(); }));
+  EXPECT_EQ(one->status(), 503);
+  EXPECT_NE(one->answers[0].find("Retry-After: "), std::string::npos);
+  quiet();
+  EXPECT_EQ(one->answers.size(), 1U);
+  EXPECT_EQ(host->counts().guarded, 0U);
+  EXPECT_EQ(host->counts().outcomes[static_cast<std::size_t>(Outcome::timeout)], 1U);
+  ASSERT_TRUE(wait_for([&] { return cache.open() == 0; }));
+}
+
+TEST_F(Loopback, AfterAStallTheAnswerIsStillTheModules) {
+  start();
+  const auto one = client();
+  one->ask(request_text("GET", "/read/1", "read", "", "0.6"));
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  ::usleep(700'000);  // the process was not run: everything of this request is due at once
+  ASSERT_TRUE(wait_for([&] { return !one->answers.empty(); }));
+  EXPECT_EQ(one->status(), 503);
+  EXPECT_EQ(host->counts().guarded, 0U);
+}
+
+TEST_F(Loopback, TheFirstOfTwoCopiesIsPassedOnAndTheOtherIsCancelledAndReported) {
+  FakeServer second(io);
+  start(list_json(
+      1, true, {{"s-1", cache.address()}, {"s-2", second.address()}, {"s-o", origin.address(), "origin"}}));
+  const auto one = client();
+  one->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() + second.requests.size() == 2; }));
+  second.peers[0]->write(response(200, "quick"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1 && cache.open() == 0; }));
+  EXPECT_EQ(one->body(), "quick");
+  quiet();
+  EXPECT_EQ(one->answers.size(), 1U);
+  EXPECT_EQ(host->counts().cancels, 1U);
+  EXPECT_EQ(host->counts().outcomes[static_cast<std::size_t>(Outcome::cancelled)], 1U);
+  EXPECT_EQ(second.open(), 1U);  // the winner's connection is kept
+}
+
+TEST_F(Loopback, AClientThatClosesIsWithdrawnAndNothingMoreIsSentForIt) {
+  start();
+  auto one = client();
+  one->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  one.reset();
+  ASSERT_TRUE(wait_for([&] { return host->counts().withdrawn == 1 && cache.open() == 0; }));
+  quiet(1'200);  // past the delay of a copy
+  EXPECT_EQ(cache.requests.size() + origin.requests.size(), 1U);
+}
+
+// ---- Outcomes decide what may be sent again
+
+TEST_F(Loopback, A503WithoutItsHeaderMayHaveRunSoAnUnsafeWriteFailsAndIsNotResent) {
+  origin.answer = [](const std::string&) { return response(503); };
+  start();
+  const auto one = client();
+  one->ask(request_text("PUT", "/pay/1", "pay", "x"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 502);
+  quiet();
+  EXPECT_EQ(origin.requests.size(), 1U);
+}
+
+TEST_F(Loopback, ATurnedAwayUnsafeWriteIsTriedAgainAndServed) {
+  origin.answer = [this](const std::string&) {
+    return origin.requests.size() == 1 ? response(503, "", "X-Turned-Away: 1\r\n") : response(200, "done");
+  };
+  start();
+  const auto one = client();
+  one->ask(request_text("PUT", "/pay/1", "pay", "x"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 200);
+  EXPECT_EQ(origin.requests.size(), 2U);
+}
+
+TEST_F(Loopback, AConnectionThatBreaksAfterTheLastByteIsAResetSoAnUnsafeWriteFails) {
+  origin.close_after_request = true;
+  start();
+  const auto one = client();
+  one->ask(request_text("PUT", "/pay/1", "pay", "x"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 502);
+  EXPECT_EQ(host->counts().outcomes[static_cast<std::size_t>(Outcome::reset)], 1U);
+  quiet();
+  EXPECT_EQ(origin.requests.size(), 1U);
+}
+
+TEST_F(Loopback, ARefusedConnectionNeverRanSoAnUnsafeWriteIsRefusedWithAdvice) {
+  tcp::acceptor shut(io, any_port());
+  const std::string nowhere = text_of(shut.local_endpoint());
+  shut.close();
+  start(list_json(1, true, {{"s-1", cache.address()}, {"s-o", nowhere, "origin"}}));
+  const auto one = client();
+  one->ask(request_text("PUT", "/pay/1", "pay", "x"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 503);
+  EXPECT_NE(one->answers[0].find("Retry-After: 0.250"), std::string::npos);
+  EXPECT_GE(host->counts().outcomes[static_cast<std::size_t>(Outcome::connect_failed)], 1U);
+}
+
+TEST_F(Loopback, AnAnswerThatIsNotHttpIsAnErrorAndTheRouterGoesOn) {
+  cache.answer = [](const std::string&) { return std::string("no such protocol\r\n\r\n"); };
+  start();
+  const auto one = client();
+  one->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(host->counts().outcomes[static_cast<std::size_t>(Outcome::error)], 1U);
+  cache.answer = [](const std::string&) { return response(200, "well"); };
+  one->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 2; }));
+  EXPECT_EQ(one->status(1), 200);
+}
+
+// ---- The end
+
+TEST_F(Loopback, ToldToStopItAnswersWhatItTookAndWhatStillComes) {
+  start();
+  const auto busy = client(), idle = client();
+  busy->ask(kRead);
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  bool done = false;
+  host->drain([&] { done = true; });
+  ASSERT_TRUE(wait_for([&] { return idle->peer->ended; }));
+  const auto late = client();
+  late->ask(request_text("GET", "/read/2", "read"));
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 2; }));
+  EXPECT_FALSE(done);
+  for (const auto& peer : cache.peers) peer->write(response(200, "x"));
+  ASSERT_TRUE(wait_for([&] { return busy->answers.size() == 1 && late->answers.size() == 1; }));
+  EXPECT_NE(busy->answers[0].find("Connection: close"), std::string::npos);
+  EXPECT_NE(late->answers[0].find("Connection: close"), std::string::npos);
+  ASSERT_TRUE(wait_for([&] { return done; }));
+  EXPECT_THROW(client(), boost::system::system_error);
+}
+
+TEST_F(Loopback, ToldToStopItFailsWhatNobodyAnswersBeforeItIsKilled) {
+  start();
+  const auto one = client();
+  one->ask(request_text("GET", "/read/2", "read", "", "60"));
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  bool done = false;
+  host->drain([&] { done = true; });
+  ASSERT_TRUE(wait_for([&] { return done; }));
+  EXPECT_EQ(one->answers.size(), 1U);
+}
+
+TEST_F(Loopback, ToldToStopItWaitsForARequestThatHasBegunToComeIn) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  const auto one = client();
+  one->ask(kRead.substr(0, 20));
+  quiet(50);
+  bool done = false;
+  host->drain([&] { done = true; });
+  quiet(1'000);  // past the time of accepting
+  EXPECT_FALSE(done);
+  one->ask(kRead.substr(20));
+  ASSERT_TRUE(wait_for([&] { return done; }));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 200);
+}
+
+TEST_F(Loopback, ToldToStopItDoesNotWaitForEverForAClientThatStandsStill) {
+  start();
+  const auto one = client();
+  one->ask("GET /read/1 HT");
+  quiet(50);
+  bool done = false;
+  host->drain([&] { done = true; });
+  EXPECT_TRUE(wait_for([&] { return done; }));
+}
+
+}  // namespace
+}  // namespace streampick::node::test
