--- a/src/node/host.cpp
+++ b/src/node/host.cpp
@@ -112,6 +112,7 @@
   // Two open requests of one id can't be told apart further on. An attempt may outlive its request, and
   // until it has ended the id is taken. For a while after that too: a client's retry has a new id, so this
   // is somebody else's, seen a moment too late.
+  forget_txns();
   if (!txns_.insert(incoming.txn).second) return 0;
   const Time now = clock_.now();
   const RequestId id = ++last_request_;
