A crowd that asks once and stays no longer waits behind silent connections

Cause: clients.cpp, make_room(): while any connection that had said nothing was younger than 50 ms, nobody gave way and accepting paused for 50 ms. Now what has been idle for a second gives way first, and accepting waits only when a quarter of the table is young and silent. The test of it shows that all are served; without the mend it is only slower, so it was not seen to fail.

--- a/src/node/clients.cpp
+++ b/src/node/clients.cpp
@@ -26,7 +26,7 @@
 constexpr Time kWholeRequest = 2'300 * kMs;
 constexpr Time kIdle = 10 * kSecond, kStuck = 10 * kSecond, kLinger = kSecond;
 constexpr Time kYoung = 50 * kMs;  // its first request may still be on its way
-constexpr std::chrono::milliseconds kSweepEvery{100}, kPause{50};
+constexpr std::chrono::milliseconds kSweepEvery{100}, kPause{20};
 
 std::optional<std::uint64_t> parse_hex(std::string_view text) {
   std::uint64_t value = 0;
@@ -404,10 +404,13 @@
     session->close();
     return true;
   }
-  if (!queue(State::fresh).empty()) {
-    if (clock_.now() - queue(State::fresh).front()->since() < kYoung) return false;
-    return end_first(State::fresh);
-  }
+  const Time now = clock_.now();
+  const Queue& fresh = queue(State::fresh);
+  const Queue& idle = queue(State::idle);
+  if (!fresh.empty() && now - fresh.front()->since() >= kYoung && end_first(State::fresh)) return true;
+  // A few young ones must not stop a crowd that asks once and stays: what has been idle for long gives way.
+  if (!idle.empty() && now - idle.front()->since() >= kSecond && end_first(State::idle)) return true;
+  if (fresh.size() * 4 > most_open_) return false;
   return end_first(State::idle) || end_first(State::begun);
 }
 
--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -296,5 +296,30 @@
   EXPECT_FALSE(usual->peer->ended);
 }
 
+// Some ask once and keep their connection, others say nothing: with a silent one always too young to give
+// way, those that ask must not wait for it in the listener's queue.
+TEST_F(Loopback, ACrowdThatAsksOnceAndStaysIsTakenThoughSilentOnesKeepComing) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  nlohmann::json config =
+      config_json(text_of(discovery.local_endpoint()),
+                  list_json(1, true, {{"s-1", cache.address()}, {"s-o", origin.address(), "origin"}}));
+  config["limits"]["sockets"] = 64;  // 16 of them for clients
+  settings = parse_settings(config.dump());
+  host = std::make_unique<Host>(io, clock, settings);
+  std::vector<std::unique_ptr<FakeClient>> all, silent;
+  for (int i = 0; i < 16; ++i) {
+    all.push_back(client());
+    all.back()->ask(a_read());
+  }
+  ASSERT_TRUE(wait_for([&] { return all.back()->answers.size() == 1; }));
+  silent.push_back(client());
+  for (int i = 0; i < 60; ++i) {
+    if (i % 4 == 0) silent.push_back(client());
+    all.push_back(client());
+    all.back()->ask(a_read());
+  }
+  EXPECT_TRUE(wait_for([&] { return host->counts().served == 76; })) << host->counts().served;
+}
+
 }  // namespace
 }  // namespace streampick::node::test
