--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -18,6 +18,31 @@
 
 Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings)
     : io_(io), clock_(clock), names_(settings.settings.names), summary_timer_(io) {
+  begin(settings, 0);
+}
+
+#ifdef STREAMPICK_WITH_RESP
+Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings, const Options& options)
+    : io_(io),
+      clock_(clock),
+      names_(settings.settings.names),
+      resp_servers_(options.resp_servers),
+      summary_timer_(io) {
+  const Config& config = settings.settings.config;
+  if (config.aside) origin_kind_ = config.origin_kind;
+  if (resp_servers_)
+    for (const std::string& kind : names_.kinds)
+      speaks_resp_.push_back(resp_servers_->kinds.empty() ||
+                             std::find(resp_servers_->kinds.begin(), resp_servers_->kinds.end(), kind) !=
+                                 resp_servers_->kinds.end());
+  begin(settings, options.resp_front ? options.resp_front->settings.most_clients : 0);
+  if (!options.resp_front) return;
+  resp_ = std::make_unique<resp::RespFront>(io_, clock_, names_, *engine_, options.resp_front->settings);
+  engine_->add(*resp_);
+}
+#endif
+
+void Host::begin(const NodeSettings& settings, std::size_t other_clients) {
   // Half for clients, half for servers: a request needs one of either, and now and then a copy.
   const std::size_t sockets = std::max(settings.sockets, kLeastDescriptors);
   const std::size_t each = (sockets - kOtherDescriptors) / 2;
@@ -33,7 +58,8 @@
   discovery_ = std::make_unique<Discovery>(io_, names_, settings.discovery, settings.known.revision,
                                            !must_ask, told.seed, *engine_);
   engine_->start(*discovery_, settings.known);
-  http_ = std::make_unique<Clients>(io_, clock_, names_, *engine_, settings.listen, each);
+  http_ = std::make_unique<Clients>(io_, clock_, names_, *engine_, settings.listen,
+                                    each - std::min(each, other_clients));
   engine_->add(*http_);
   if (!must_ask) discovery_->watch();
   every_ten_seconds();
@@ -41,12 +67,23 @@
 
 // Fronts go first: what their connections would tell has nobody to hear it.
 Host::~Host() {
+#ifdef STREAMPICK_WITH_RESP
+  resp_.reset();
+#endif
   http_.reset();
   discovery_.reset();
   engine_.reset();
 }
 
-std::unique_ptr<Transport> Host::make(const std::string& name, std::uint32_t) {
+std::unique_ptr<Transport> Host::make(const std::string& name, [[maybe_unused]] std::uint32_t kind) {
+#ifdef STREAMPICK_WITH_RESP
+  // A member of no known kind speaks what all do, if all do the same.
+  if (resp_servers_ && (kind < speaks_resp_.size() ? speaks_resp_[kind] : resp_servers_->kinds.empty())) {
+    const bool holds_copies = origin_kind_ != kNone && kind != origin_kind_;
+    return std::make_unique<resp::RespTransport>(io_, clock_, links_, *engine_, resp_servers_->settings,
+                                                 resp_counts_, name, holds_copies);
+  }
+#endif
   return std::make_unique<Upstream>(io_, clock_, links_, *engine_, name);
 }
 
--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -6,7 +6,9 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "daemon/node_settings.h"
 #include "engine/engine.h"
@@ -14,6 +16,9 @@
 #include "net/clock.h"
 #include "net/links.h"
 #include "roster/discovery.h"
+#ifdef STREAMPICK_WITH_RESP
+#include "daemon/options.h"
+#endif
 
 namespace streampick::node {
 
@@ -21,6 +26,12 @@
  public:
   // Throws boost::system::system_error when an address can't be listened on.
   Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings);
+#ifdef STREAMPICK_WITH_RESP
+  // `options` are resolved.
+  Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings, const Options& options);
+  const resp::RespFront* resp() const { return resp_.get(); }
+  const resp::ServerCounts& resp_servers() const { return resp_counts_; }
+#endif
   ~Host() override;
 
   // Goes on accepting for a little, finishes what was taken, then calls `done`.
@@ -35,6 +46,7 @@
 
  private:
   std::unique_ptr<Transport> make(const std::string& name, std::uint32_t kind) override;
+  void begin(const NodeSettings& settings, std::size_t other_clients);
   void every_ten_seconds();
 
   boost::asio::io_context& io_;
@@ -44,6 +56,13 @@
   std::unique_ptr<Engine> engine_;
   std::unique_ptr<Discovery> discovery_;
   std::unique_ptr<Clients> http_;
+#ifdef STREAMPICK_WITH_RESP
+  std::optional<RespServers> resp_servers_;
+  std::vector<bool> speaks_resp_;  // by kind
+  std::uint32_t origin_kind_ = kNone;
+  resp::ServerCounts resp_counts_;
+  std::unique_ptr<resp::RespFront> resp_;
+#endif
   boost::asio::steady_timer summary_timer_;
   std::string last_summary_;
 };
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -5,11 +5,18 @@
 #include <cstdlib>
 #include <exception>
 #include <iostream>
+#include <memory>
+#include <optional>
 #include <string>
 
 #include "daemon/host.h"
 #include "daemon/node_settings.h"
 #include "net/log.h"
+#ifdef STREAMPICK_WITH_RESP
+#include <CLI/CLI.hpp>
+
+#include "daemon/options.h"
+#endif
 
 namespace {
 
@@ -30,12 +37,27 @@
   });
 }
 
-void serve(boost::asio::io_context& io, boost::asio::signal_set& reloads, const char* path,
-           const node::NodeSettings& settings) {
+struct Start {
+  node::NodeSettings settings;
+  const char* path = nullptr;  // of the platform's configuration
+#ifdef STREAMPICK_WITH_RESP
+  std::optional<node::Options> options;
+#endif
+};
+
+std::unique_ptr<node::Host> make_host(boost::asio::io_context& io, node::Clock& clock, const Start& start) {
+#ifdef STREAMPICK_WITH_RESP
+  if (start.options) return std::make_unique<node::Host>(io, clock, start.settings, *start.options);
+#endif
+  return std::make_unique<node::Host>(io, clock, start.settings);
+}
+
+void serve(boost::asio::io_context& io, boost::asio::signal_set& reloads, const Start& start) {
   node::Clock clock(io);
-  node::Host host(io, clock, settings);
+  const auto made = make_host(io, clock, start);
+  node::Host& host = *made;
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
-  reload_on(reloads, path, host);
+  reload_on(reloads, start.path, host);
   bool done = false;
   signals.async_wait([&](const boost::system::error_code& error, int) {
     if (error) return;
@@ -51,25 +73,84 @@
   node::log("stopped: " + host.summary());
 }
 
+// The platform's configuration and the operator's options, checked against each other.
+Start load(const std::string& options_path) {
+  Start out;
+  out.path = std::getenv("NODE_CONFIG");
+  if (out.path == nullptr || *out.path == '\0') throw std::runtime_error("NODE_CONFIG is not set");
+  out.settings = node::load_settings(out.path);
+#ifdef STREAMPICK_WITH_RESP
+  if (!options_path.empty()) {
+    out.options = node::load_options(options_path);
+    node::resolve(*out.options, out.settings);
+  }
+#else
+  (void)options_path;
+#endif
+  return out;
+}
+
+#ifdef STREAMPICK_WITH_RESP
+// Says what is on, or in one line what is wrong. Without a configuration of the platform's only the file
+// itself is looked at.
+int check(const std::string& options_path) {
+  const char* config = std::getenv("NODE_CONFIG");
+  node::Options options;
+  if (!options_path.empty()) options = node::load_options(options_path);
+  if (config != nullptr && *config != '\0') {
+    const node::NodeSettings settings = node::load_settings(config);
+    if (!options_path.empty()) node::resolve(options, settings);
+    std::cout << "configuration: " << config << " can be used\n";
+  } else {
+    std::cout << "configuration: not looked at, NODE_CONFIG is not set\n";
+  }
+  std::cout << node::describe(options);
+  return 0;
+}
+#endif
+
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+  std::string options_path;
+#ifdef STREAMPICK_WITH_RESP
+  bool only_check = false;
+  CLI::App app("A router for key reads and saves over a fleet of cache servers.", "streampick_router");
+  app.add_option("--options", options_path, "the operator's options file (TOML)");
+  app.add_flag("--check", only_check, "say what is on, or what is wrong, and end");
+  app.set_version_flag("--version", "streampick_router " STREAMPICK_VERSION);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::Success& asked) {
+    return app.exit(asked);
+  } catch (const CLI::ParseError& error) {
+    std::cerr << "streampick_router: " << error.what() << '\n';
+    return kBadSettings;
+  }
+#else
+  // What can't be heeded must not look as if it were.
+  if (argc > 1) {
+    std::cerr << "streampick_router: " << argv[1] << ": built without STREAMPICK_RESP, it takes no options\n";
+    return kBadSettings;
+  }
+#endif
   std::signal(SIGPIPE, SIG_IGN);
   // SIGHUP would end the process: it is caught before the configuration is read, and one that comes
   // meanwhile waits in the set, so that a file replaced just then is read all the same.
   boost::asio::io_context io(1);
   boost::asio::signal_set reloads(io, SIGHUP);
-  node::NodeSettings settings;
-  const char* path = std::getenv("NODE_CONFIG");
+  Start start;
   try {
-    if (path == nullptr || *path == '\0') throw std::runtime_error("NODE_CONFIG is not set");
-    settings = node::load_settings(path);
+#ifdef STREAMPICK_WITH_RESP
+    if (only_check) return check(options_path);
+#endif
+    start = load(options_path);
   } catch (const std::exception& error) {
     std::cerr << "streampick_router: " << error.what() << '\n';
     return kBadSettings;
   }
   try {
-    serve(io, reloads, path, settings);
+    serve(io, reloads, start);
   } catch (const std::exception& error) {
     std::cerr << "streampick_router: " << error.what() << '\n';
     return kFailed;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -202,9 +202,9 @@
   if (!attempt.live) return;
   attempt.live = false;
   attempt.missed = outcome == Outcome::miss;
-  if (may_have_run(outcome)) open.may_have_run = true;
+  if (outcome == Outcome::served || may_have_run(outcome)) open.may_have_run = true;
   // What the source of all values lacks, or any server where there is no such source, does not exist.
-  open.absent = attempt.missed && (origin_kind_ == kNone || servers_[attempt.server].source);
+  if (attempt.missed && (origin_kind_ == kNone || servers_[attempt.server].source)) open.absent = true;
   expiries_.erase({attempt.expires, id.request, id.number});
   ++counts_.outcomes[static_cast<std::size_t>(outcome)];
   AttemptResult result;
@@ -230,8 +230,10 @@
     return;
   expiries_.erase({found->second.guard, request, kNone});
   ended_txns_.emplace_back(time_.now(), found->second.txn);
-  if (stores_back_ && is_write(found->second.message->operation))
+  if (stores_back_ && is_write(found->second.message->operation)) {
     store_back_.write_ended(found->second.key, time_.now());
+    if (found->second.may_have_run) void_copies(found->second.message->key);
+  }
   requests_.erase(found);
   forget_txns();
 }
@@ -425,6 +427,13 @@
   }
 }
 
+// A write ended that ran, or may have: what caches hold of its key may be old.
+void Engine::void_copies(const std::string& key) {
+  for (const Server& server : servers_)
+    if (server.listed && server.transport && server.transport->wants_values())
+      server.transport->void_copy(key);
+}
+
 bool Engine::free_a_connection() {
   return std::any_of(servers_.begin(), servers_.end(), [](const Server& server) {
     return server.transport && server.transport->close_oldest_idle();
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -107,6 +107,7 @@
   void depart(ServerId server, bool gone);
   void answer(RequestId request, Reply reply);
   void store_back(const Open& open, const Answer& answer);
+  void void_copies(const std::string& key);
   void report(AttemptId attempt, Outcome outcome);
   void end_attempt(AttemptId attempt, Outcome outcome);
   void forget_if_done(RequestId request);
--- a/src/engine/transport.h
+++ b/src/engine/transport.h
@@ -29,6 +29,8 @@
   // Whether the server must be given, by us, what it missed and the source then answered.
   virtual bool wants_values() const { return false; }
   virtual void keep(const std::string& /*key*/, const std::string& /*value*/) {}
+  // The server's copy of the key, if it has one, may be old: it is to be dropped, as soon as may be.
+  virtual void void_copy(const std::string& /*key*/) {}
 
   // No request's first byte is written at this time or later; kNever lifts it.
   void send_nothing_from(Time at) { nothing_from_ = at; }
--- /dev/null
+++ b/src/resp/front.cpp
@@ -0,0 +1,499 @@
+#include "resp/front.h"
+
+#include <poll.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/post.hpp>
+#include <charconv>
+#include <unordered_map>
+#include <utility>
+
+#include "net/log.h"
+#include "net/tcp.h"
+
+namespace streampick::resp {
+
+using node::error_code;
+using node::log;
+using node::tcp;
+using node::asio::buffer;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t kScratch = 16 * 1024, kMostDiscarded = 1024 * 1024;
+constexpr Time kSecond = 1'000'000;
+constexpr Time kStuck = 10 * kSecond;  // a client that takes nothing of its answers this long is closed
+constexpr Time kHalf = 10 * kSecond;   // a command must be whole this long after its first byte
+constexpr Time kLinger = kSecond, kYoung = kSecond;
+constexpr Time kAnyPatience = 86'400 * kSecond;  // cut to the class's
+constexpr int kRounds = 16;
+constexpr std::chrono::milliseconds kPause{20}, kSweepEvery{250};
+
+std::string hex(std::uint64_t value) {
+  std::array<char, 16> digits{};
+  for (std::size_t i = digits.size(); i-- > 0; value >>= 4U) digits[i] = "0123456789abcdef"[value & 15U];
+  return {digits.data(), digits.size()};
+}
+
+// As the HTTP side has it, so that a key is the same key at whichever front it is named.
+std::uint64_t key_number(const std::string& escaped) {
+  std::uint64_t value = 0;
+  const char* end = escaped.data() + escaped.size();
+  const auto parsed = std::from_chars(escaped.data(), end, value, 16);
+  if (escaped.size() == 16 && parsed.ec == std::errc{} && parsed.ptr == end) return value;
+  return hash_name(escaped);
+}
+
+}  // namespace
+
+std::string escape_key(std::string_view key) {
+  constexpr std::string_view plain = "-._~!$&'()*+,;=:@";
+  std::string out;
+  out.reserve(key.size());
+  for (const char c : key) {
+    const bool as_it_is = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                          plain.find(c) != std::string_view::npos;
+    if (as_it_is) {
+      out += c;
+    } else {
+      const auto byte = static_cast<unsigned char>(c);
+      out += '%';
+      out += "0123456789ABCDEF"[byte >> 4U];
+      out += "0123456789ABCDEF"[byte & 15U];
+    }
+  }
+  return out;
+}
+
+class RespFront::Session final : public node::Asker, public std::enable_shared_from_this<Session> {
+ public:
+  Session(RespFront& owner, tcp::socket socket, std::int64_t id)
+      : owner_(&owner),
+        socket_(std::move(socket)),
+        conversation_(owner.settings_.rules, id),
+        since_(owner.time_.now()) {
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
+  }
+  void placed(Sessions::iterator place) { place_ = place; }
+
+  void reply(std::uint64_t tag, node::Reply reply) override {
+    if (owner_ == nullptr) return;
+    open_.erase(tag);
+    conversation_.answered(tag, std::move(reply));
+    go_on_soon();
+  }
+
+  // Reads and answers as far as it goes. Not from within a call of the engine.
+  void go_on() {
+    if (owner_ == nullptr) return;
+    // Others want their turn too: a client that sends without end is gone on with in the next one.
+    for (int rounds = 0; rounds < kRounds; ++rounds) {
+      feed();
+      if (owner_ == nullptr) return;
+      write();
+      if (owner_ == nullptr) return;
+      if (!pending_.empty()) {
+        if (conversation_.wants_more() && owner_->has_room()) continue;
+        return settle();
+      }
+      if (!may_read() || !read()) return settle();
+    }
+    go_on_soon();
+  }
+
+  void there_is_room() {
+    starved_ = false;
+    go_on();
+  }
+
+  void close() {
+    if (owner_ == nullptr) return;
+    RespFront& owner = *std::exchange(owner_, nullptr);
+    error_code ignored;
+    socket_.close(ignored);
+    owner.in_work(counted_, 0);
+    counted_ = 0;
+    const auto self = shared_from_this();
+    owner.sessions_.erase(place_);
+    const auto open = std::exchange(open_, {});
+    for (const auto& [tag, request] : open) owner.requests_.withdrawn(request);
+  }
+  void detach() {
+    owner_ = nullptr;
+    error_code ignored;
+    socket_.close(ignored);
+  }
+
+  bool quiet() const {
+    return pending_.empty() && conversation_.at_rest() && !conversation_.half_asked() && !writing_;
+  }
+  bool unread() const {
+    error_code ignored;
+    return socket_.available(ignored) > 0;
+  }
+  bool lingering() const { return lingering_; }
+  Time since() const { return since_; }
+
+  // What has come by now was taken, also what the kernel still holds: it is answered, and then the connection
+  // ends. Nothing that comes later is read.
+  void stop_reading() {
+    error_code ignored;
+    stopping_ = true;
+    to_read_ = socket_.available(ignored);
+    go_on();
+  }
+
+  void check(Time now) {
+    if (lingering_) {
+      if (now - since_ > kLinger) close();
+      return;
+    }
+    if (writing_ && now - write_since_ > kStuck) return close();
+    // With bytes unread nothing waits on the socket: whether the client is still there must be asked.
+    if (!waiting_ && hung_up()) return close();
+    if (conversation_.half_asked()) {
+      if (half_since_ == 0) half_since_ = now;
+      if (now - half_since_ > kHalf && !writing_ && conversation_.open_requests() == 0) return close();
+    } else {
+      half_since_ = 0;
+    }
+    const Time idle = owner_->settings_.idle;
+    if (idle > 0 && quiet() && now - since_ > idle) close();
+  }
+
+ private:
+  bool hung_up() {
+    pollfd ask{socket_.native_handle(), POLLRDHUP, 0};
+    return ::poll(&ask, 1, 0) > 0 && (ask.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
+
+  bool may_read() const {
+    return !lingering_ && !(stopping_ && to_read_ == 0) && conversation_.wants_more() && owner_->has_room();
+  }
+
+  void go_on_soon() {
+    if (std::exchange(posted_, true)) return;
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      self->posted_ = false;
+      self->go_on();
+    });
+  }
+
+  // An answer to one may let the next be asked.
+  void submit_all() {
+    for (auto asks = conversation_.take_asks(); !asks.empty(); asks = conversation_.take_asks())
+      for (Ask& ask : asks) submit(std::move(ask));
+    count();
+  }
+
+  void feed() {
+    submit_all();
+    pending_.erase(0, consume(pending_));
+    if (conversation_.over()) pending_.clear();
+    if (pending_.empty() && pending_.capacity() > 64) pending_ = {};
+  }
+
+  // How much of what came could be taken now.
+  std::size_t consume(std::string_view bytes) {
+    std::size_t used = 0;
+    while (used < bytes.size() && conversation_.wants_more() && owner_->has_room()) {
+      const std::uint64_t before = conversation_.commands();
+      used += conversation_.put(bytes.substr(used));
+      owner_->counts_.commands += conversation_.commands() - before;
+      since_ = owner_->time_.now();
+      submit_all();
+    }
+    return used;
+  }
+
+  void submit(Ask ask) {
+    const FrontSettings& settings = owner_->settings_;
+    const bool write = is_write(ask.part.operation);
+    const std::uint32_t kind = write ? settings.write_class : settings.read_class;
+    node::Incoming incoming;
+    incoming.tag = ask.tag;
+    incoming.request_class = kind;
+    incoming.tenant = ask.tenant.empty() ? kNone : index_of(owner_->names_.tenants, ask.tenant);
+    incoming.remaining = ask.patience > 0 ? ask.patience : kAnyPatience;
+    incoming.has_key = true;
+    const std::string escaped = escape_key(ask.part.key);
+    incoming.key = key_number(escaped);
+    incoming.message = std::make_shared<node::Message>();
+    node::Message& message = *incoming.message;
+    message.operation = ask.part.operation;
+    message.target = "/" + owner_->names_.classes[kind] + "/" + escaped;
+    message.key = std::move(ask.part.key);
+    message.body = std::move(ask.part.body);
+    message.words = std::move(ask.part.words);
+    message.idempotency_key = std::move(ask.idempotency_key);
+    if (ask.id.empty()) {
+      incoming.txn = owner_->next_id();
+      message.txn = hex(incoming.txn);
+    } else {
+      std::from_chars(ask.id.data(), ask.id.data() + ask.id.size(), incoming.txn, 16);
+      message.txn = std::move(ask.id);
+    }
+    // With it our own repeats are told from other writes; the client's own repeat is another write.
+    if (write && settings.write_key && message.idempotency_key.empty()) message.idempotency_key = message.txn;
+    ++owner_->counts_.requests;
+    open_.emplace(ask.tag, 0);
+    const RequestId id = owner_->requests_.asked(shared_from_this(), std::move(incoming));
+    if (id == 0) {
+      open_.erase(ask.tag);
+      conversation_.id_is_open(ask.tag);
+    } else if (const auto found = open_.find(ask.tag); found != open_.end()) {
+      found->second = id;  // not answered within the call
+    }
+  }
+
+  void count() {
+    const std::size_t now = conversation_.unwritten();
+    owner_->in_work(std::exchange(counted_, now), now);
+  }
+
+  // Returns whether anything came.
+  bool read() {
+    error_code error;
+    auto& scratch = owner_->scratch_;
+    const std::size_t most = stopping_ ? std::min(to_read_, scratch.size()) : scratch.size();
+    const std::size_t got = socket_.read_some(buffer(scratch.data(), most), error);
+    if (error == asio::error::would_block) return false;
+    if (error) {
+      close();  // who ends the connection has gone away: what is open for him is withdrawn
+      return false;
+    }
+    if (stopping_) to_read_ -= got;
+    // Most often all of it is used at once: a connection that waits holds no buffer.
+    const std::string_view bytes(scratch.data(), got);
+    const std::size_t used = consume(bytes);
+    if (!conversation_.over()) pending_ = bytes.substr(used);
+    return true;
+  }
+
+  void write() {
+    while (owner_ != nullptr && !writing_ && conversation_.has_output()) {
+      out_ = conversation_.take_output();
+      written_ = 0;
+      write_since_ = owner_->time_.now();
+      push();
+    }
+  }
+
+  void push() {
+    while (written_ < out_.size()) {
+      error_code error;
+      written_ += socket_.write_some(buffer(out_.data() + written_, out_.size() - written_), error);
+      if (error == asio::error::would_block) {
+        writing_ = true;
+        socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
+          if (failed || self->owner_ == nullptr) return;
+          self->writing_ = false;
+          self->write_since_ = self->owner_->time_.now();
+          self->push();
+          self->go_on();
+        });
+        return;
+      }
+      if (error) return close();
+    }
+    out_ = {};
+    conversation_.written();
+    count();
+  }
+
+  // Waits for what comes next, or ends what is over.
+  void settle() {
+    if (owner_ == nullptr) return;
+    if (lingering_) return wait();
+    if (!owner_->has_room() && !std::exchange(starved_, true)) owner_->starved_.push_back(weak_from_this());
+    const bool answered = conversation_.at_rest() && !writing_ && pending_.empty();
+    if (answered && (conversation_.over() || (stopping_ && to_read_ == 0) ||
+                     (owner_->draining_ && quiet() && !unread()))) {
+      if (conversation_.lost()) ++owner_->counts_.bad;
+      // A close with unread bytes would reset the connection and could take the answers with it.
+      lingering_ = true;
+      since_ = owner_->time_.now();
+      error_code ignored;
+      socket_.shutdown(tcp::socket::shutdown_send, ignored);
+      return wait();
+    }
+    wait();
+  }
+
+  void wait() {
+    if (owner_ == nullptr || waiting_) return;
+    // Also while nothing more is read, to notice a client that goes away: but then what it has sent would
+    // wake us without end.
+    if (!lingering_ && (!may_read() || !pending_.empty()) && unread()) return;
+    waiting_ = true;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code failed) {
+      self->waiting_ = false;
+      if (failed || self->owner_ == nullptr) return;
+      self->readable();
+    });
+  }
+
+  void readable() {
+    if (lingering_) {
+      error_code error;
+      const std::size_t got = socket_.read_some(buffer(owner_->scratch_), error);
+      discarded_ += got;
+      if ((error && error != asio::error::would_block) || discarded_ > kMostDiscarded) return close();
+      return wait();
+    }
+    if (!unread()) {
+      // The end, most likely: looking tells.
+      char byte = 0;
+      error_code error;
+      socket_.receive(buffer(&byte, 1), tcp::socket::message_peek, error);
+      if (error && error != asio::error::would_block) return close();
+    }
+    go_on();
+  }
+
+  RespFront* owner_;  // none once it is closed
+  tcp::socket socket_;
+  Conversation conversation_;
+  std::string pending_;  // read and not used yet
+  std::string out_;
+  std::size_t written_ = 0, counted_ = 0, discarded_ = 0;
+  std::size_t to_read_ = 0;                            // once it is to stop reading
+  std::unordered_map<std::uint64_t, RequestId> open_;  // by tag
+  Time since_, write_since_ = 0, half_since_ = 0;
+  Sessions::iterator place_;
+  bool waiting_ = false, writing_ = false, posted_ = false, starved_ = false, stopping_ = false;
+  bool lingering_ = false;
+};
+
+RespFront::RespFront(asio::io_context& io, node::TimeSource& time, const Names& names,
+                     node::Requests& requests, const FrontSettings& settings)
+    : io_(io),
+      time_(time),
+      names_(names),
+      requests_(requests),
+      settings_(settings),
+      acceptor_(io, settings.listen, /*reuse_addr=*/true),
+      pause_(io),
+      sweep_(io),
+      scratch_(kScratch),
+      last_id_(settings.seed) {
+  acceptor_.non_blocking(true);
+  accept();
+  sweep();
+}
+
+RespFront::~RespFront() {
+  for (const auto& session : sessions_) session->detach();
+}
+
+// Ids that no other router's are likely to equal, and no two of ours: a bijection of a counter.
+std::uint64_t RespFront::next_id() {
+  std::uint64_t z = last_id_ += 0x9e3779b97f4a7c15U;
+  z = (z ^ (z >> 30U)) * 0xbf58476d1ce4e5b9U;
+  z = (z ^ (z >> 27U)) * 0x94d049bb133111ebU;
+  return z ^ (z >> 31U);
+}
+
+void RespFront::accept() {
+  if (!acceptor_.is_open()) return;
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    accepted(error, std::move(socket));
+  });
+}
+
+void RespFront::accepted(const error_code& error, tcp::socket socket) {
+  if (!error) {
+    take(std::move(socket));
+    return accept();
+  }
+  if (error == asio::error::connection_aborted) return accept();
+  // Out of descriptors: the listener stays readable, and to try again at once would only spin.
+  log("resp accept: " + error.message());
+  make_room();
+  pause_.expires_after(kPause);
+  pause_.async_wait([this](error_code cancelled) {
+    if (!cancelled) accept();
+  });
+}
+
+void RespFront::take(tcp::socket socket) {
+  if (sessions_.size() >= settings_.most_clients && !make_room()) {
+    ++counts_.turned_away;
+    error_code ignored;
+    socket.non_blocking(true, ignored);
+    static constexpr std::string_view full = "-ERR max number of clients reached\r\n";
+    socket.write_some(asio::buffer(full), ignored);
+    return;
+  }
+  ++counts_.accepted;
+  const auto session = std::make_shared<Session>(*this, std::move(socket), ++last_session_);
+  session->placed(sessions_.insert(sessions_.end(), session));
+  session->go_on();
+}
+
+// Whoever has asked for nothing for longest gives way, if it is a while already.
+bool RespFront::make_room() {
+  std::shared_ptr<Session> oldest;
+  for (const auto& session : sessions_) {
+    if (session->lingering()) {
+      oldest = session;
+      break;
+    }
+    if (!session->quiet() || session->unread() || time_.now() - session->since() < kYoung) continue;
+    if (!oldest || session->since() < oldest->since()) oldest = session;
+  }
+  if (!oldest) return false;
+  oldest->close();
+  return true;
+}
+
+void RespFront::in_work(std::size_t before, std::size_t now) {
+  in_work_ = in_work_ + now - before;
+  if (now >= before || !has_room() || starved_.empty()) return;
+  for (const auto& waits : std::exchange(starved_, {}))
+    if (const auto next = waits.lock()) asio::post(io_, [next] { next->there_is_room(); });
+}
+
+void RespFront::drain() {
+  draining_ = true;
+  const Sessions all = sessions_;
+  for (const auto& session : all) session->go_on();
+}
+
+void RespFront::stop_accepting() {
+  // What the kernel has accepted counts as ours: the queue is emptied before the listener closes.
+  error_code error;
+  while (acceptor_.is_open() && sessions_.size() < settings_.most_clients) {
+    tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (error) break;
+    take(std::move(socket));
+  }
+  acceptor_.close(error);
+  pause_.cancel();
+  const Sessions all = sessions_;
+  for (const auto& session : all) session->stop_reading();
+}
+
+std::size_t RespFront::unanswered() const {
+  return static_cast<std::size_t>(std::count_if(sessions_.begin(), sessions_.end(), [](const auto& session) {
+    return !session->lingering() && !session->quiet();
+  }));
+}
+
+void RespFront::sweep() {
+  const Time now = time_.now();
+  const Sessions all = sessions_;
+  for (const auto& session : all) session->check(now);
+  sweep_.expires_after(kSweepEvery);
+  sweep_.async_wait([this](error_code cancelled) {
+    if (!cancelled) sweep();
+  });
+}
+
+}  // namespace streampick::resp
--- /dev/null
+++ b/src/resp/front.h
@@ -0,0 +1,85 @@
+// The side that RESP clients see: the listener and their connections. What they say is Conversation's.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "engine/front.h"
+#include "engine/time.h"
+#include "resp/conversation.h"
+#include "settings.h"
+
+namespace streampick::resp {
+
+struct FrontSettings {
+  boost::asio::ip::tcp::endpoint listen;
+  FrontRules rules;
+  std::uint32_t read_class = 0, write_class = 0;  // places among the names of classes
+  bool write_key = false;           // the write class is keyed: a write without a KEY is given one
+  std::size_t most_clients = 64;    // connections
+  std::size_t most_requests = 512;  // of all connections, whose answers are not written yet
+  Time idle = 300'000'000;          // a connection that asked for nothing this long is closed; 0: never
+  std::uint64_t seed = 0;           // of the ids that the front chooses
+};
+
+class RespFront final : public node::Front {
+ public:
+  struct Counts {
+    std::uint64_t accepted = 0, turned_away = 0, commands = 0, requests = 0, bad = 0;
+  };
+
+  // Throws boost::system::system_error when the address can't be listened on.
+  RespFront(boost::asio::io_context& io, node::TimeSource& time, const Names& names, node::Requests& requests,
+            const FrontSettings& settings);
+  ~RespFront() override;
+  RespFront(const RespFront&) = delete;
+  RespFront& operator=(const RespFront&) = delete;
+
+  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  void drain() override;
+  void stop_accepting() override;
+  std::size_t unanswered() const override;
+  std::size_t open() const override { return sessions_.size(); }
+  const Counts& counts() const { return counts_; }
+
+ private:
+  class Session;
+  using Sessions = std::list<std::shared_ptr<Session>>;
+
+  void accept();
+  void accepted(const boost::system::error_code& error, boost::asio::ip::tcp::socket socket);
+  void take(boost::asio::ip::tcp::socket socket);
+  bool make_room();
+  void sweep();
+  bool has_room() const { return in_work_ < settings_.most_requests; }
+  void in_work(std::size_t before, std::size_t now);
+  std::uint64_t next_id();
+
+  boost::asio::io_context& io_;
+  node::TimeSource& time_;
+  const Names& names_;
+  node::Requests& requests_;
+  FrontSettings settings_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer pause_, sweep_;
+  Sessions sessions_;
+  std::deque<std::weak_ptr<Session>> starved_;  // wait for room among the requests
+  std::vector<char> scratch_;
+  std::size_t in_work_ = 0;
+  std::uint64_t last_id_ = 0;
+  std::int64_t last_session_ = 0;
+  bool draining_ = false;
+  Counts counts_;
+};
+
+// A key as a part of a path: what a path may not hold as it is stands as %XX.
+std::string escape_key(std::string_view key);
+
+}  // namespace streampick::resp
--- /dev/null
+++ b/src/resp/pipeline.cpp
@@ -0,0 +1,342 @@
+#include "resp/pipeline.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "resp/commands.h"
+
+namespace streampick::resp {
+namespace {
+
+Limits limits_of(const ServerRules& rules) {
+  Limits out;
+  out.blob = rules.longest_value;
+  out.bytes = rules.longest_value + 64 * 1024;
+  out.items = 4 * 1024;
+  return out;
+}
+
+std::string_view first_word(std::string_view text) { return text.substr(0, text.find(' ')); }
+
+std::string hex_free(std::string_view text) {
+  std::string out(text.substr(0, 200));
+  std::replace_if(
+      out.begin(), out.end(), [](char c) { return c < ' ' || c > '~'; }, '?');
+  return out;
+}
+
+}  // namespace
+
+Outcome outcome_of_error(std::string_view text) {
+  // The server says that it did not run the command, and might later, or another server might.
+  constexpr std::array<std::string_view, 19> never = {
+      "LOADING",    "BUSY",      "MOVED",       "ASK",        "READONLY",   "OOM",      "NOAUTH",
+      "NOPERM",     "MISCONF",   "CLUSTERDOWN", "MASTERDOWN", "NOREPLICAS", "TRYAGAIN", "DRAINING",
+      "MAXCLIENTS", "WRONGPASS", "CROSSSLOT",   "UNBLOCKED",  "INPROG"};
+  // It finds fault with the command itself: every server would.
+  constexpr std::array<std::string_view, 4> rejects = {"ERR", "WRONGTYPE", "SYNTAX", "DUPLICATE"};
+  const std::string_view word = first_word(text);
+  if (std::find(never.begin(), never.end(), word) != never.end()) return Outcome::full;
+  // Replied in place of a greeting by a server that has no place for one more connection.
+  if (text.starts_with("ERR max number of clients")) return Outcome::full;
+  if (std::find(rejects.begin(), rejects.end(), word) != rejects.end()) return Outcome::rejected;
+  return Outcome::error;
+}
+
+Ended read_reply(node::AttemptId attempt, const node::Message& message, Value reply, bool null_is_miss) {
+  using Form = node::Answer::Form;
+  Ended out{attempt, Outcome::served, {}};
+  const bool write = node::is_write(message.operation);
+  const bool may_miss = null_is_miss && !write;
+  const std::string_view name = message.words.empty() ? std::string_view(write ? "SET" : "GET")
+                                                      : std::string_view(message.words.front());
+  const Command* command = find_command(name);
+  switch (reply.type) {
+    case Type::error:
+    case Type::blob_error:
+      out.outcome = outcome_of_error(reply.text);
+      if (out.outcome == Outcome::rejected) out.answer.body = hex_free(reply.text);
+      return out;
+    case Type::null:
+      out.answer.form = Form::nothing;
+      if (may_miss) out.outcome = Outcome::miss;
+      break;
+    case Type::number:
+      out.answer.form = Form::count;
+      out.answer.count = reply.number;
+      if (may_miss && command != nullptr) {
+        const bool misses = command->miss == Command::Miss::minus_two ? reply.number == -2
+                            : command->miss == Command::Miss::zero    ? reply.number == 0
+                                                                      : false;
+        if (misses) out.outcome = Outcome::miss;
+      }
+      break;
+    case Type::simple: out.answer.form = Form::done; break;
+    case Type::blob:
+    case Type::verbatim:
+      out.answer.form = command != nullptr && command->name == "SET" ? Form::old_value : Form::value;
+      out.answer.body = std::move(reply.text);
+      break;
+    default: break;
+  }
+  // A reply that the command can't have is an answer to something else.
+  using Wants = Command::Reply;
+  bool fits = true;
+  if (command != nullptr) {
+    switch (command->reply) {
+      case Wants::value: fits = out.answer.form == Form::value || out.answer.form == Form::nothing; break;
+      case Wants::length:
+      case Wants::present:
+      case Wants::count: fits = out.answer.form == Form::count; break;
+      case Wants::done:
+        fits = out.answer.form == Form::done ||
+               (!message.words.empty() &&
+                (out.answer.form == Form::nothing || out.answer.form == Form::old_value));
+        break;
+    }
+  }
+  const bool known = reply.type == Type::null || reply.type == Type::number || reply.type == Type::simple ||
+                     reply.type == Type::blob || reply.type == Type::verbatim;
+  if (!fits || !known) return {attempt, Outcome::spoilt, {}};
+  return out;
+}
+
+Pipeline::Pipeline(const ServerRules& rules, bool null_is_miss)
+    : rules_(&rules), null_is_miss_(null_is_miss), decoder_(limits_of(rules)) {
+  greet(true);
+}
+
+Pipeline::Entry& Pipeline::add(Role role) {
+  Entry& entry = entries_.emplace_back();
+  entry.role = role;
+  entry.begin = offered_;
+  return entry;
+}
+
+void Pipeline::greet(bool three) {
+  std::vector<std::string_view> words;
+  Entry& entry = add(three ? Role::hello : Role::auth);
+  const std::size_t before = out_.size();
+  const std::string_view user = rules_->user.empty() ? std::string_view("default") : rules_->user;
+  if (three) {
+    words = {"HELLO", "3"};
+    if (!rules_->password.empty()) words.insert(words.end(), {"AUTH", user, rules_->password});
+  } else {
+    words = {"AUTH"};
+    if (!rules_->user.empty()) words.push_back(user);
+    words.push_back(rules_->password);
+  }
+  encode_command(words, out_);
+  offered_ += out_.size() - before;
+  entry.end = offered_;
+}
+
+void Pipeline::send(node::AttemptId attempt, std::shared_ptr<const node::Message> message, Time remaining) {
+  Entry& entry = add(Role::attempt);
+  const std::size_t before = out_.size();
+  std::vector<std::string_view> words;
+  const std::string ms = std::to_string(std::max<Time>(remaining / 1000, 1));
+  if (rules_->send_ids) {
+    words = {"ROUTE", "ID", message->txn, "DEADLINE", ms};
+    if (!message->idempotency_key.empty()) words.insert(words.end(), {"KEY", message->idempotency_key});
+  }
+  if (!message->words.empty()) {
+    words.insert(words.end(), message->words.begin(), message->words.end());
+  } else if (message->operation == node::Operation::write) {
+    words.insert(words.end(), {"SET", message->key, message->body});
+  } else {
+    words.insert(words.end(), {"GET", message->key});
+  }
+  encode_command(words, out_);
+  offered_ += out_.size() - before;
+  entry.attempt = attempt;
+  entry.end = offered_;
+  if (node::is_write(message->operation)) ++writes_;
+  entry.message = std::move(message);
+  ++waited_for_;
+}
+
+void Pipeline::store(const std::string& key, const std::string& value) {
+  Entry& entry = add(Role::store);
+  const std::size_t before = out_.size();
+  std::vector<std::string_view> words = {"SET", key, value};
+  const std::string life = std::to_string(rules_->store_ms);
+  if (rules_->store_ms > 0) words.insert(words.end(), {"PX", life});
+  words.push_back("NX");  // what the cache has got since is newer
+  encode_command(words, out_);
+  offered_ += out_.size() - before;
+  entry.end = offered_;
+}
+
+void Pipeline::remove(const std::string& key) {
+  Entry& entry = add(Role::store);
+  const std::size_t before = out_.size();
+  encode_command({"DEL", key}, out_);
+  offered_ += out_.size() - before;
+  entry.end = offered_;
+}
+
+void Pipeline::written(std::size_t bytes) {
+  out_at_ += bytes;
+  written_ += bytes;
+  if (out_at_ == out_.size()) {
+    out_.clear();
+    out_at_ = 0;
+    if (out_.capacity() > 64 * 1024) out_.shrink_to_fit();
+  }
+}
+
+std::size_t Pipeline::sent_whole() const {
+  return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(),
+                                                [&](const Entry& entry) { return entry.end <= written_; }));
+}
+
+void Pipeline::leave(const Entry& entry) {
+  if (entry.role != Role::attempt) return;
+  if (node::is_write(entry.message->operation)) --writes_;
+  if (!entry.forgotten) --waited_for_;
+}
+
+// Ends entries from `index` on; their bytes leave the output.
+void Pipeline::cut_from(std::size_t index, Outcome outcome) {
+  if (index >= entries_.size()) return;
+  const std::uint64_t begin = std::max(entries_[index].begin, written_);
+  const auto keep = static_cast<std::size_t>(begin - written_);
+  out_.resize(out_at_ + keep);
+  offered_ = begin;
+  for (std::size_t i = index; i < entries_.size(); ++i) {
+    leave(entries_[i]);
+    if (entries_[i].role == Role::attempt && !entries_[i].forgotten)
+      ended_.push_back({entries_[i].attempt, outcome, {}});
+  }
+  entries_.resize(index);
+}
+
+void Pipeline::drop_unsent() {
+  std::size_t first = entries_.size();
+  while (first > 0 && entries_[first - 1].begin >= written_ && entries_[first - 1].role != Role::hello &&
+         entries_[first - 1].role != Role::auth)
+    --first;
+  cut_from(first, Outcome::not_sent);
+}
+
+void Pipeline::forget(node::AttemptId attempt) {
+  const auto found = std::find_if(entries_.begin(), entries_.end(), [&](const Entry& entry) {
+    return entry.role == Role::attempt && !entry.forgotten && entry.attempt == attempt;
+  });
+  if (found == entries_.end()) return;
+  const auto index = static_cast<std::size_t>(found - entries_.begin());
+  if (found->begin >= written_ && found->end > written_) {
+    // None of it has left: its bytes are taken out of the run.
+    const std::uint64_t length = found->end - found->begin;
+    out_.erase(out_at_ + static_cast<std::size_t>(found->begin - written_), static_cast<std::size_t>(length));
+    offered_ -= length;
+    leave(*found);
+    entries_.erase(found);
+    for (std::size_t i = index; i < entries_.size(); ++i) {
+      entries_[i].begin -= length;
+      entries_[i].end -= length;
+    }
+    return;
+  }
+  if (found->end > written_) {
+    // Some of it has left. The rest must not, for its request is over; what stands behind never left.
+    leave(*found);
+    cut_from(index + 1, Outcome::connect_failed);
+    entries_.pop_back();
+    out_.clear();
+    out_at_ = 0;
+    offered_ = written_;
+    state_ = State::closing;
+    why_ = "a command was given up when a part of it was written";
+    return;
+  }
+  found->forgotten = true;
+  --waited_for_;
+}
+
+void Pipeline::put(std::string_view bytes) {
+  std::size_t used = 0;
+  while (used < bytes.size() && state_ != State::broken) {
+    used += decoder_.put(bytes.substr(used));
+    if (decoder_.failed()) return break_off(decoder_.error());
+    if (decoder_.done()) take(decoder_.take());
+  }
+}
+
+void Pipeline::take(Value reply) {
+  // A reply that nothing asked for, or that comes before its command is out, shows that the order is lost:
+  // every one behind it could be another's.
+  if (entries_.empty()) {
+    if (reply.is_error() && state_ == State::ready) return break_off("told: " + hex_free(reply.text));
+    return break_off("a reply without a request");
+  }
+  if (entries_.front().end > written_) {
+    if (!greeted() && reply.is_error()) return break_off("told: " + hex_free(reply.text));
+    return break_off("a reply before its request");
+  }
+  const Entry entry = std::move(entries_.front());
+  entries_.pop_front();
+  leave(entry);
+  if (entry.role == Role::hello || entry.role == Role::auth)
+    return greeted_with(entry.role, std::move(reply));
+  if (entry.role == Role::store) return;
+  if (entry.forgotten) {
+    ++passed_over_;
+    return;
+  }
+  ended_.push_back(read_reply(entry.attempt, *entry.message, std::move(reply), null_is_miss_));
+}
+
+void Pipeline::greeted_with(Role role, Value reply) {
+  if (!reply.is_error()) {
+    if (role == Role::hello) version_ = Version::resp3;
+    state_ = State::ready;
+    return;
+  }
+  const std::string_view word = first_word(reply.text);
+  // A server from before RESP3 does not know the command, or not this version of it.
+  if (role == Role::hello && (word == "NOPROTO" || word == "ERR") &&
+      !reply.text.starts_with("ERR max number")) {
+    if (rules_->password.empty()) {
+      state_ = State::ready;
+    } else {
+      greet(false);
+    }
+    return;
+  }
+  break_off("greeting: " + hex_free(reply.text));
+}
+
+void Pipeline::break_off(std::string why) {
+  if (state_ == State::broken) return;
+  why_ = std::move(why);
+  // What had come whole before stands. What can't be read is the answer to the command at the front, if that
+  // was out; of those behind it nobody will ever know.
+  const bool spoils = greeted() && !entries_.empty() && entries_.front().end <= written_;
+  if (spoils) {
+    const Entry entry = std::move(entries_.front());
+    entries_.pop_front();
+    leave(entry);
+    if (entry.role == Role::attempt && !entry.forgotten)
+      ended_.push_back({entry.attempt, Outcome::spoilt, {}});
+  }
+  end();
+}
+
+void Pipeline::end() {
+  if (state_ == State::broken) return;
+  state_ = State::broken;
+  while (!entries_.empty()) {
+    const Entry entry = std::move(entries_.front());
+    entries_.pop_front();
+    leave(entry);
+    if (entry.role != Role::attempt || entry.forgotten) continue;
+    ended_.push_back({entry.attempt, entry.end <= written_ ? Outcome::reset : Outcome::connect_failed, {}});
+  }
+  out_.clear();
+  out_at_ = 0;
+}
+
+}  // namespace streampick::resp
--- /dev/null
+++ b/src/standin/platform.cpp
@@ -0,0 +1,221 @@
+#include "standin/platform.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+namespace streampick::standin {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using nlohmann::json;
+
+json member_list(const std::vector<PlatformMember>& members) {
+  json out = {{"revision", 1}, {"complete", true}, {"members", json::array()}};
+  for (const PlatformMember& member : members)
+    out["members"].push_back({{"id", member.id},
+                              {"host_port", member.address},
+                              {"locality", "a"},
+                              {"flavor", member.origin ? "origin" : "cache"},
+                              {"cell", 1},
+                              {"phase", "in_service"},
+                              {"size", 1.0},
+                              {"up_since_ms", 0}});
+  return out;
+}
+
+json router_config(const std::string& listen, const std::string& discovery,
+                   const std::vector<PlatformMember>& members, std::size_t sockets) {
+  const auto profile = [](const char* name, const char* effect, std::int64_t aim, std::int64_t limit) {
+    return json{{"Name", name},         {"Effect", effect},      {"Group", "all"}, {"AimUs", aim},
+                {"HardLimitUs", limit}, {"WindowUs", 2'000'000}, {"Worth", 5.0}};
+  };
+  return {{"name", "n1"},
+          {"listen", listen},
+          {"discovery", discovery},
+          {"seed", "8c1f30d27a5be964"},
+          {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", sockets}}},
+          {"known", member_list(members)},
+          {"settings",
+           {{"Az", "a"},
+            {"Balancers", 1},
+            {"Zones", {"a"}},
+            {"Shapes", {"cache", "origin"}},
+            {"Tenants", json::array()},
+            {"FamilyInfo", {{"Mode", "aside"}, {"OriginKind", 1}}},
+            {"PolicyLimits",
+             {{"MaxAttempts", 3},
+              {"SecondCopies", true},
+              {"Cancelling", true},
+              {"RetryAfter", true},
+              {"MaxRetryAfterUs", 2'000'000},
+              {"DialTimeoutUs", 250'000},
+              {"KeepaliveUs", 60'000'000}}},
+            {"Guarantees", {{"AnswerSlackUs", 20'000}, {"StopSendingWithinUs", 2'000'000}}},
+            {"RegistryMode", "push"},
+            {"Profiles",
+             {profile("tile-read", "safe", 800'000, 4'000'000),
+              profile("annotation-save", "keyed", 1'500'000, 3'000'000)}}}}};
+}
+
+class StaticDiscovery::Watch : public std::enable_shared_from_this<Watch> {
+ public:
+  Watch(StaticDiscovery& owner, tcp::socket socket)
+      : owner_(&owner), socket_(std::move(socket)), timer_(socket_.get_executor()) {}
+  void start() {
+    read();
+    write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(owner_->line_));
+  }
+  void detach() {
+    owner_ = nullptr;
+    error_code ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+  }
+
+ private:
+  static std::string chunk(const std::string& text) {
+    std::array<char, 20> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return size.data() + text + "\r\n";
+  }
+  void read() {
+    socket_.async_read_some(asio::buffer(in_), [self = shared_from_this()](error_code error, std::size_t) {
+      if (self->owner_ == nullptr) return;
+      if (error) return self->end();
+      self->read();
+    });
+  }
+  void write(std::string text) {
+    out_ = std::move(text);
+    asio::async_write(socket_, asio::buffer(out_),
+                      [self = shared_from_this()](error_code error, std::size_t) {
+                        if (self->owner_ == nullptr) return;
+                        if (error) return self->end();
+                        self->timer_.expires_after(std::chrono::seconds(1));
+                        self->timer_.async_wait([self](error_code cancelled) {
+                          if (!cancelled && self->owner_ != nullptr) self->write(chunk("\n"));
+                        });
+                      });
+  }
+  void end() {
+    StaticDiscovery& owner = *owner_;
+    detach();
+    owner.watches_.erase(shared_from_this());
+  }
+  StaticDiscovery* owner_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  std::array<char, 1024> in_{};
+  std::string out_;
+};
+
+StaticDiscovery::StaticDiscovery(asio::io_context& io, const std::vector<PlatformMember>& members)
+    : io_(io),
+      line_(member_list(members).dump() + "\n"),
+      acceptor_(io, {asio::ip::make_address("127.0.0.1"), 0}) {
+  accept();
+}
+
+StaticDiscovery::~StaticDiscovery() {
+  for (const auto& watch : watches_) watch->detach();
+}
+
+std::string StaticDiscovery::address() const {
+  return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+}
+
+void StaticDiscovery::accept() {
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error) return;
+    const auto made = std::make_shared<Watch>(*this, std::move(socket));
+    watches_.insert(made);
+    made->start();
+    accept();
+  });
+}
+
+RouterProcess::RouterProcess(const std::string& program, const json& config, const std::string& options_toml,
+                             bool quiet) {
+  std::string name = (std::filesystem::temp_directory_path() / "streampick-XXXXXX").string();
+  if (::mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the router's files");
+  folder_ = name;
+  const std::string config_path = folder_ + "/config.json", options_path = folder_ + "/options.toml";
+  std::ofstream(config_path) << config.dump(1);
+  std::ofstream(options_path) << options_toml;
+  pid_ = ::fork();
+  if (pid_ < 0) throw std::runtime_error("the router can't be started");
+  if (pid_ == 0) {
+    ::setenv("NODE_CONFIG", config_path.c_str(), 1);
+    if (quiet) {
+      const int null = ::open("/dev/null", O_WRONLY);
+      ::dup2(null, 2);
+    }
+    // The parent's sockets are not the router's.
+    for (int fd = 3; fd < 1024; ++fd) ::close(fd);
+    if (options_toml.empty())
+      ::execl(program.c_str(), program.c_str(), static_cast<char*>(nullptr));
+    else
+      ::execl(program.c_str(), program.c_str(), "--options", options_path.c_str(),
+              static_cast<char*>(nullptr));
+    ::_exit(127);
+  }
+}
+
+RouterProcess::~RouterProcess() {
+  stop();
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+int RouterProcess::stop() {
+  if (pid_ > 0) {
+    ::kill(pid_, SIGTERM);
+    ::waitpid(pid_, &status_, 0);
+    pid_ = -1;
+  }
+  return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
+}
+
+bool RouterProcess::running() {
+  if (pid_ <= 0) return false;
+  if (::waitpid(pid_, &status_, WNOHANG) == 0) return true;
+  pid_ = -1;
+  return false;
+}
+
+double RouterProcess::cpu_seconds() const {
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(file)), {});
+  text.erase(0, text.rfind(')') + 2);
+  // Fields 14 and 15; what is left begins with the third.
+  unsigned long user = 0, system = 0;
+  std::size_t at = 0;
+  for (int i = 3; i < 14; ++i) at = text.find(' ', at) + 1;
+  std::sscanf(text.c_str() + at, "%lu %lu", &user, &system);
+  return static_cast<double>(user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+long RouterProcess::resident_kb() const {
+  std::ifstream file("/proc/" + std::to_string(pid_) + "/statm");
+  long all = 0, resident = 0;
+  file >> all >> resident;
+  return resident * (::sysconf(_SC_PAGESIZE) / 1024);
+}
+
+unsigned short free_port(asio::io_context& io) {
+  tcp::acceptor probe(io, {asio::ip::make_address("127.0.0.1"), 0});
+  return probe.local_endpoint().port();
+}
+
+}  // namespace streampick::standin
--- /dev/null
+++ b/src/standin/platform.h
@@ -0,0 +1,70 @@
+// What the platform is to a router, in small: discovery with a list that does not change, a configuration
+// file, and the router as a child process. For measurements and the demo.
+#pragma once
+
+#include <sys/types.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace streampick::standin {
+
+struct PlatformMember {
+  std::string id, address;
+  bool origin = false;
+};
+
+// A list as discovery words it: caches of the kind "cache", origins of the kind "origin".
+nlohmann::json member_list(const std::vector<PlatformMember>& members);
+
+// A router's configuration: classes tile-read (safe) and annotation-save (keyed); aside mode, three attempts.
+nlohmann::json router_config(const std::string& listen, const std::string& discovery,
+                             const std::vector<PlatformMember>& members, std::size_t sockets);
+
+class StaticDiscovery {
+ public:
+  StaticDiscovery(boost::asio::io_context& io, const std::vector<PlatformMember>& members);
+  ~StaticDiscovery();
+  StaticDiscovery(const StaticDiscovery&) = delete;
+  StaticDiscovery& operator=(const StaticDiscovery&) = delete;
+  std::string address() const;
+
+ private:
+  class Watch;
+  void accept();
+  boost::asio::io_context& io_;
+  std::string line_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::set<std::shared_ptr<Watch>> watches_;
+};
+
+class RouterProcess {
+ public:
+  // Starts `program` with `arguments`, its configuration written to a file of its own.
+  RouterProcess(const std::string& program, const nlohmann::json& config, const std::string& options_toml,
+                bool quiet);
+  ~RouterProcess();  // stops it, and removes its files
+  RouterProcess(const RouterProcess&) = delete;
+  RouterProcess& operator=(const RouterProcess&) = delete;
+  // SIGTERM, then waits; returns its exit code.
+  int stop();
+  bool running();
+  pid_t pid() const { return pid_; }
+  double cpu_seconds() const;  // user and system, since its start
+  long resident_kb() const;
+
+ private:
+  std::string folder_;
+  pid_t pid_ = -1;
+  int status_ = 0;
+};
+
+// A port of 127.0.0.1 that was free a moment ago.
+unsigned short free_port(boost::asio::io_context& io);
+
+}  // namespace streampick::standin
--- /dev/null
+++ b/tests/resp/accounting_test.cpp
@@ -0,0 +1,197 @@
+// Twenty thousand requests while caches close in the middle of pipelines and push between replies: each has
+// one final answer, the right one, and no write runs more often than its class allows.
+#include <unordered_map>
+
+#include "resp/resp_loopback.h"
+
+namespace streampick::node::test {
+namespace {
+
+// Asks for what it has a plan for, some at a time on one connection, and checks each reply as it comes.
+class Asking {
+ public:
+  struct One {
+    std::string id, key;
+    bool write = false;
+  };
+  Asking(std::unique_ptr<RespClient> client, std::vector<One> all)
+      : client_(std::move(client)), all_(std::move(all)) {
+    client_->on_reply = [this] { more(); };
+    more();
+  }
+  bool done() const { return client_->replies.size() >= all_.size(); }
+  std::size_t extra() const {
+    return client_->replies.size() - std::min(all_.size(), client_->replies.size());
+  }
+  std::size_t wrong = 0, served = 0, refused = 0, failed = 0;
+  std::vector<std::string> refused_writes, failed_writes, served_writes;
+
+ private:
+  static constexpr std::size_t kDepth = 24;
+  void more() {
+    for (; checked_ < client_->replies.size() && checked_ < all_.size(); ++checked_) {
+      const One& one = all_[checked_];
+      const Value& reply = client_->reply(checked_);
+      if (reply.is_error()) {
+        const bool none_ran = reply.text.rfind("TRYAGAIN", 0) == 0;
+        ++(none_ran ? refused : failed);
+        if (one.write) (none_ran ? refused_writes : failed_writes).push_back(one.id);
+        continue;
+      }
+      ++served;
+      if (one.write) served_writes.push_back(one.id);
+      const bool right =
+          one.write ? reply == Value::simple("OK") : reply == Value::blob("value of " + one.key);
+      wrong += right ? 0U : 1U;
+    }
+    std::string bytes;
+    for (; sent_ < all_.size() && sent_ < checked_ + kDepth; ++sent_) {
+      const One& one = all_[sent_];
+      bytes += one.write ? command({"ROUTE", "ID", one.id, "SET", one.key, "value of " + one.key})
+                         : command({"ROUTE", "ID", one.id, "GET", one.key});
+    }
+    if (!bytes.empty()) client_->raw(bytes);
+  }
+  std::unique_ptr<RespClient> client_;
+  std::vector<One> all_;
+  std::size_t sent_ = 0, checked_ = 0;
+};
+
+class Accounting : public RespLoopback {
+ protected:
+  static constexpr std::size_t kClients = 10, kEach = 2'000, kKeys = 400;
+
+  void run(const std::string& write_class) {
+    add_caches(4);
+    for (std::size_t i = 0; i < kKeys; ++i) store.values[key(i)] = "value of " + key(i);
+    std::uint64_t turn = 0;
+    const auto faulty = [&turn](const std::vector<std::string>&, std::size_t) {
+      turn = turn * 6364136223846793005U + 1442695040888963407U;
+      switch ((turn >> 33U) % 200) {
+        case 0: return Fault{Fault::Kind::close};
+        case 1: return Fault{Fault::Kind::close_mid_reply};
+        case 2: return Fault{Fault::Kind::close_unseen};
+        case 3:
+        case 4: return Fault{Fault::Kind::push_before};
+        case 5: return Fault{Fault::Kind::push_after};
+        case 6: return Fault{Fault::Kind::error, "LOADING not yet"};
+        default: return Fault{};
+      }
+    };
+    for (const auto& one : caches) one->script = faulty;
+    store.script = faulty;
+    // Wide enough that the caches' faults are what is tried, not a full origin.
+    adjust = [](nlohmann::json& config) { config["settings"]["PolicyLimits"]["MaxAttempts"] = 4; };
+    start_resp("write_class = \"" + write_class + "\"\n", "connections = 3\npipeline = 8\nsend_ids = true\n");
+    accept_watch();
+    std::vector<std::unique_ptr<Asking>> all;
+    std::uint64_t id = 0, seed = 99;
+    for (std::size_t c = 0; c < kClients; ++c) {
+      std::vector<Asking::One> plan;
+      for (std::size_t i = 0; i < kEach; ++i) {
+        seed = seed * 6364136223846793005U + 1442695040888963407U;
+        std::array<char, 17> text{};
+        std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(++id));
+        plan.push_back({text.data(), key((seed >> 40U) % kKeys), (seed >> 33U) % 10 == 0});
+      }
+      all.push_back(std::make_unique<Asking>(resp_client(), std::move(plan)));
+    }
+    const auto progress = [&] {
+      return host->counts().served + host->counts().refused + host->counts().failed;
+    };
+    ASSERT_TRUE(wait_for([&] {
+      keep_watch();
+      return progress() > kClients * kEach / 4;
+    }));
+    tell(2, {{0, "terminating"}});
+    const auto told = std::chrono::steady_clock::now();
+    caches[0]->record_times = true;
+    for (int rounds = 0; rounds < 10 && !HasFailure(); ++rounds)
+      if (wait_for([&] {
+            return std::all_of(all.begin(), all.end(), [](const auto& one) { return one->done(); });
+          }))
+        break;
+    quiet(100);
+    std::size_t served = 0, refused = 0, failed = 0;
+    for (const auto& one : all) {
+      EXPECT_TRUE(one->done());
+      EXPECT_EQ(one->extra(), 0U);
+      EXPECT_EQ(one->wrong, 0U);
+      served += one->served;
+      refused += one->refused;
+      failed += one->failed;
+      for (const std::string& write : one->served_writes) EXPECT_EQ(store.executions[write], 1U) << write;
+      for (const std::string& write : one->failed_writes) EXPECT_LE(store.executions[write], 1U) << write;
+      // A refusal says that nothing ran; of a keyed write it says that a repeat does no harm.
+      if (write_class == "pay") {
+        for (const std::string& write : one->refused_writes) EXPECT_EQ(store.executions[write], 0U) << write;
+      }
+    }
+    EXPECT_EQ(served + refused + failed, kClients * kEach);
+    EXPECT_EQ(host->counts().asked, kClients * kEach);
+    EXPECT_EQ(host->counts().served, served);
+    EXPECT_EQ(host->counts().refused, refused);
+    EXPECT_EQ(host->counts().failed, failed);
+    EXPECT_EQ(host->counts().guarded, 0U);
+    EXPECT_GT(served, kClients * kEach * 9 / 10);
+    EXPECT_GT(outcomes(Outcome::reset), 20U);  // the faults were had
+    EXPECT_GT(host->resp_servers().pushes, 100U);
+    EXPECT_GT(host->resp_servers().shared, 100U);
+    const auto late = std::count_if(caches[0]->taken.begin(), caches[0]->taken.end(),
+                                    [&](const auto& at) { return at - told > std::chrono::seconds(2); });
+    EXPECT_EQ(late, 0) << "of " << caches[0]->taken.size() << " since the drain was told";
+  }
+  static std::string key(std::size_t i) { return "sheet-" + std::to_string(i); }
+};
+
+TEST_F(Accounting, UnsafeWrites) { run("pay"); }
+TEST_F(Accounting, KeyedWrites) { run("save"); }
+
+// The same requests by either front against the same servers: the same outcomes.
+TEST_F(RespLoopback, EitherFrontHasTheSameOutcomeCounts) {
+  const auto counts = [&](bool by_resp) {
+    caches.clear();
+    add_caches(2);
+    store.values.clear();
+    store.executions.clear();
+    for (int i = 0; i < 40; ++i) store.values["k" + std::to_string(i)] = "v";
+    // By what is asked, so that both fronts meet the same.
+    const auto script = [](const std::vector<std::string>& words, std::size_t) {
+      const int number = std::stoi(words.at(1).substr(1));
+      if (words[0] == "SET" && number % 8 == 3) return Fault{Fault::Kind::close};
+      if (words[0] == "SET" && number % 8 == 5) return Fault{Fault::Kind::error, "WRONGTYPE no"};
+      return Fault{};
+    };
+    store.script = script;
+    start_resp("write_class = \"pay\"\n", "store_queue = 0\n");
+    std::string kinds;
+    const auto resp = resp_client();
+    const auto http = client();
+    for (int i = 0; i < 60; ++i) {
+      const bool write = i % 3 == 0;
+      const std::string key = "k" + std::to_string(i);
+      if (by_resp) {
+        resp->ask(write ? std::vector<std::string>{"SET", key, "x"} : std::vector<std::string>{"GET", key});
+        EXPECT_TRUE(wait_for([&] { return resp->replies.size() == static_cast<std::size_t>(i + 1); }));
+      } else {
+        http->ask(write ? request_text("PUT", "/pay/" + key, "pay", "x")
+                        : request_text("GET", "/read/" + key, "read"));
+        EXPECT_TRUE(wait_for([&] { return http->answers.size() == static_cast<std::size_t>(i + 1); }));
+      }
+    }
+    const Engine::Counts& all = host->counts();
+    kinds = "asked " + std::to_string(all.asked) + " served " + std::to_string(all.served) + " refused " +
+            std::to_string(all.refused) + " failed " + std::to_string(all.failed) + " attempts " +
+            std::to_string(all.attempts) + " outcomes";
+    for (const std::uint64_t count : all.outcomes) kinds += " " + std::to_string(count);
+    kinds += " run " + std::to_string(store.executions.size());
+    host.reset();
+    return kinds;
+  };
+  const std::string by_http = counts(false), by_resp = counts(true);
+  EXPECT_EQ(by_http, by_resp);
+  EXPECT_EQ(by_http.rfind("asked 60 served ", 0), 0U);
+}
+
+}  // namespace
+}  // namespace streampick::node::test
--- /dev/null
+++ b/tests/resp/commands_test.cpp
@@ -0,0 +1,155 @@
+// The command table: what each command becomes, and how answers and errors are spelled.
+#include "resp/commands.h"
+
+#include <gtest/gtest.h>
+
+#include "print.h"
+
+namespace streampick::resp::test {
+namespace {
+
+Value command(const std::vector<std::string>& words) {
+  std::vector<Value> items;
+  for (const std::string& word : words) items.push_back(Value::blob(word));
+  return Value::array(std::move(items));
+}
+Plan planned(const std::vector<std::string>& words, TableSettings settings = {}) {
+  return plan(command(words), settings);
+}
+TableSettings plain() {
+  TableSettings out;
+  out.plain_only = true;
+  return out;
+}
+
+TEST(RespCommands, ReadsAndWritesBecomeOnePartAKey) {
+  const Plan get = planned({"get", "k"});
+  ASSERT_EQ(get.parts.size(), 1U);
+  EXPECT_EQ(get.parts[0].operation, Operation::read);
+  EXPECT_EQ(get.parts[0].key, "k");
+  EXPECT_TRUE(get.parts[0].words.empty());
+  const Plan mget = planned({"MGET", "a", "b", "a"});
+  ASSERT_EQ(mget.parts.size(), 3U);
+  EXPECT_EQ(mget.parts[2].key, "a");
+  const Plan set = planned({"SET", "k", "value"});
+  EXPECT_EQ(set.parts.at(0).operation, Operation::write);
+  EXPECT_EQ(set.parts.at(0).body, "value");
+  const Plan del = planned({"DEL", "a", "b"});
+  ASSERT_EQ(del.parts.size(), 2U);
+  EXPECT_EQ(del.parts[1].words, (std::vector<std::string>{"DEL", "b"}));
+  EXPECT_EQ(del.parts[1].operation, Operation::other_write);
+  EXPECT_EQ(planned({"TTL", "k"}).parts.at(0).operation, Operation::other_read);
+  EXPECT_EQ(planned({"EXISTS", "k"}).parts.at(0).operation, Operation::read);
+}
+
+TEST(RespCommands, WhatCantBeKeptTruthfullyIsSaidClearly) {
+  TableSettings aside;
+  aside.aside = true;
+  const std::vector<std::tuple<std::vector<std::string>, TableSettings, std::string>> cases = {
+      {{"SET", "k", "v", "EX", "10"}, aside, "ERR an expiry can't be kept"},
+      {{"SET", "k", "v", "KEEPTTL"}, aside, "ERR an expiry can't be kept"},
+      {{"SET", "k", "v", "NX", "XX"}, {}, "ERR syntax error"},
+      {{"SET", "k", "v", "EX"}, {}, "ERR syntax error"},
+      {{"SET", "k", "v", "EX", "0"}, {}, "ERR invalid expire"},
+      {{"SET", "k", "v", "EX", "1", "PX", "1"}, {}, "ERR syntax error"},
+      {{"SET", "k", "v", "WHEN"}, {}, "ERR syntax error"},
+      {{"SET", "k", "v", "NX"}, plain(), "ERR NX, XX and GET need servers that speak RESP"},
+      {{"DEL", "k"}, plain(), "ERR DEL needs servers that speak RESP"},
+      {{"GET"}, {}, "ERR wrong number of arguments for 'GET'"},
+      {{"GET", "a", "b"}, {}, "ERR wrong number of arguments for 'GET'"},
+      {{"GET", ""}, {}, "ERR a key must have"},
+      {{"GET", std::string(513, 'k')}, {}, "ERR a key must have"},
+      {{"SUBSCRIBE", "c"}, {}, "ERR unknown command 'SUBSCRIBE'"},
+      {{"MULTI"}, {}, "ERR unknown command"},
+      {{"bad\r\nname"}, {}, "ERR unknown command 'bad??name'"},
+      {{"ROUTE", "ID", "xyz", "GET", "k"}, {}, "ERR ID must be"},
+      {{"ROUTE", "ID", "00112233445566zz", "GET", "k"}, {}, "ERR ID must be"},
+      {{"ROUTE", "DEADLINE", "0", "GET", "k"}, {}, "ERR DEADLINE must be"},
+      {{"ROUTE", "DEADLINE", "-5", "GET", "k"}, {}, "ERR DEADLINE must be"},
+      {{"ROUTE", "KEY", "a b", "SET", "k", "v"}, {}, "ERR KEY must be"},
+      {{"ROUTE", "KEY", "a", "ROUTE", "KEY", "b"}, {}, "ERR ROUTE within ROUTE"},
+      {{"ROUTE", "ID", "0011223344556677", "MGET", "a", "b"}, {}, "ERR ID names one request"},
+  };
+  for (const auto& [words, settings, error] : cases) {
+    const Plan out = planned(words, settings);
+    EXPECT_EQ(out.error.rfind(error, 0), 0U) << words[0] << ": " << out.error;
+    EXPECT_TRUE(out.parts.empty());
+  }
+  std::vector<std::string> many(300, "k");
+  many[0] = "MGET";
+  EXPECT_EQ(planned(many).error, "ERR over 256 keys in one command");
+}
+
+TEST(RespCommands, RouteAndAttributesTellTheSame) {
+  const Plan route = planned(
+      {"ROUTE", "ID", "0011223344556677", "DEADLINE", "250", "KEY", "i-1", "TENANT", "t", "SET", "k", "v"});
+  EXPECT_EQ(route.error, "");
+  EXPECT_EQ(route.told.id, "0011223344556677");
+  EXPECT_EQ(route.told.deadline, 250'000);
+  EXPECT_EQ(route.told.idempotency_key, "i-1");
+  EXPECT_EQ(route.told.tenant, "t");
+  EXPECT_EQ(route.parts.at(0).body, "v");
+  Value with = command({"SET", "k", "v"});
+  with.attributes = std::make_unique<std::vector<Value>>();
+  for (const char* text : {"key", "i-1", "unknown", "x", "tenant", "t"})
+    with.attributes->push_back(Value::blob(text));
+  with.attributes->push_back(Value::blob("deadline"));
+  with.attributes->push_back(Value::integer(250));
+  const Plan attributed = plan(std::move(with), {});
+  EXPECT_EQ(attributed.told.idempotency_key, "i-1");
+  EXPECT_EQ(attributed.told.deadline, 250'000);
+  EXPECT_EQ(attributed.told.tenant, "t");
+}
+
+TEST(RespCommands, MissesAreSpelledAsTheCommandHasThem) {
+  const auto absent = [](const char* name) {
+    node::Reply reply;
+    reply.absent = true;
+    return spell(*find_command(name), std::move(reply));
+  };
+  EXPECT_TRUE(absent("GET").is_null());
+  EXPECT_EQ(absent("EXISTS"), Value::integer(0));
+  EXPECT_EQ(absent("TTL"), Value::integer(-2));
+  EXPECT_TRUE(absent("SET").is_error());  // a write is not answered by what is missing
+}
+
+TEST(RespCommands, RefusedAndFailedAreToldApart) {
+  const Command& get = *find_command("GET");
+  const Command& set = *find_command("SET");
+  EXPECT_EQ(spell(set, {.kind = node::Reply::Kind::refused, .retry_after = 249'001}).text,
+            "TRYAGAIN refused, nothing ran; come back in 250 ms");
+  EXPECT_EQ(spell(set, {.late = true, .may_have_run = true}).text,
+            "TIMEOUT no answer in time; it may have run");
+  EXPECT_EQ(spell(set, {}).text, "UNAVAILABLE failed; nothing ran");
+  EXPECT_EQ(spell(get, {.may_have_run = true}).text, "UNAVAILABLE failed");
+  EXPECT_EQ(spell(get, {.why = "WRONGTYPE not a string"}).text, "WRONGTYPE not a string");
+}
+
+TEST(RespCommands, PartsAreGatheredAndFailedOnesNamed) {
+  std::vector<Value> parts;
+  parts.push_back(Value::blob("a"));
+  parts.push_back(Value::error("TIMEOUT x"));
+  const Value list = gather(*find_command("MGET"), std::move(parts));
+  EXPECT_EQ(list.items.at(0).text, "a");
+  EXPECT_TRUE(list.items.at(1).is_error());
+  std::vector<Value> sums;
+  for (int i = 0; i < 3; ++i) sums.push_back(Value::integer(1));
+  EXPECT_EQ(gather(*find_command("DEL"), std::move(sums)), Value::integer(3));
+  std::vector<Value> some;
+  some.push_back(Value::integer(1));
+  some.push_back(Value::error("TIMEOUT x"));
+  EXPECT_EQ(gather(*find_command("DEL"), std::move(some)).text, "TIMEOUT x (1 of 2 keys)");
+}
+
+TEST(RespCommands, TheTableDescribesItself) {
+  const std::vector<std::string> count = {"COMMAND", "COUNT"}, docs = {"COMMAND", "DOCS", "get"},
+                                 info = {"COMMAND", "INFO", "mget", "nope"}, all = {"COMMAND"};
+  EXPECT_EQ(describe(count).number, static_cast<std::int64_t>(commands().size()));
+  EXPECT_EQ(describe(docs).items.at(0).text, "get");
+  EXPECT_EQ(describe(info).items.at(0).items.at(4), Value::integer(-1));
+  EXPECT_TRUE(describe(info).items.at(1).is_null());
+  EXPECT_EQ(describe(all).items.size(), commands().size());
+}
+
+}  // namespace
+}  // namespace streampick::resp::test
--- /dev/null
+++ b/tests/resp/conversation_test.cpp
@@ -0,0 +1,184 @@
+// A client's side without sockets: order, limits, versions in mid-pipeline, users.
+#include "resp/conversation.h"
+
+#include <gtest/gtest.h>
+
+#include "print.h"
+
+namespace streampick::resp::test {
+namespace {
+
+class ConversationTest : public ::testing::Test {
+ protected:
+  void put(std::string_view bytes) { used = talk.put(bytes); }
+  std::string out() {
+    std::string bytes = talk.take_output();
+    talk.written();
+    return bytes;
+  }
+  static node::Reply served(const std::string& body) {
+    node::Reply reply;
+    reply.kind = node::Reply::Kind::served;
+    reply.answer.body = body;
+    return reply;
+  }
+  FrontRules rules;
+  std::size_t used = 0;
+  Conversation talk{rules, 9};
+};
+
+TEST_F(ConversationTest, RepliesLeaveInTheOrderOfTheirCommands) {
+  put("GET a\r\nGET b\r\nPING\r\nMGET c d\r\n");
+  const auto asks = talk.take_asks();
+  ASSERT_EQ(asks.size(), 4U);
+  EXPECT_EQ(out(), "");
+  talk.answered(asks[3].tag, served("D"));
+  talk.answered(asks[1].tag, served("B"));
+  EXPECT_EQ(out(), "");
+  talk.answered(asks[0].tag, served("A"));
+  EXPECT_EQ(out(), "$1\r\nA\r\n$1\r\nB\r\n+PONG\r\n");
+  talk.answered(asks[2].tag, served("C"));
+  EXPECT_EQ(out(), "*2\r\n$1\r\nC\r\n$1\r\nD\r\n");
+  EXPECT_TRUE(talk.at_rest());
+}
+
+TEST_F(ConversationTest, AnAnswerThatComesTwiceOrForNothingIsPassedOver) {
+  put("GET a\r\nGET b\r\n");
+  const auto asks = talk.take_asks();
+  talk.answered(asks[1].tag, served("B"));
+  talk.answered(asks[1].tag, served("again"));
+  talk.answered(12345U << 16U, served("nobody's"));
+  talk.answered(asks[0].tag, served("A"));
+  talk.answered(asks[0].tag, served("again"));
+  EXPECT_EQ(out(), "$1\r\nA\r\n$1\r\nB\r\n");
+  EXPECT_EQ(talk.open_requests(), 0U);
+}
+
+TEST_F(ConversationTest, AFullPipelineTakesNoMoreAndLosesNothing) {
+  std::string bytes;
+  for (int i = 0; i < 10'000; ++i) bytes += "GET k" + std::to_string(i) + "\r\n";
+  std::string_view rest = bytes;
+  std::size_t answered = 0, most = 0;
+  while (!rest.empty() || talk.open_requests() > 0) {
+    rest.remove_prefix(talk.put(rest));
+    most = std::max(most, talk.unwritten());
+    for (const Ask& ask : talk.take_asks()) {
+      EXPECT_EQ(ask.part.key, "k" + std::to_string(answered));
+      talk.answered(ask.tag, served("v"));
+      ++answered;
+    }
+    EXPECT_FALSE(out().empty());
+  }
+  EXPECT_EQ(answered, 10'000U);
+  EXPECT_LE(most, rules.pipeline);
+}
+
+TEST_F(ConversationTest, AClientThatReadsNothingIsNotReadFromEither) {
+  std::string bytes;
+  for (int i = 0; i < 100'000; ++i) bytes += "PING\r\n";
+  put(bytes);
+  EXPECT_LT(used, bytes.size());
+  const std::string first = talk.take_output();  // being written, and never taken
+  EXPECT_LT(first.size(), 70'000U);
+  put(std::string_view(bytes).substr(used));
+  EXPECT_FALSE(talk.wants_more());
+}
+
+TEST_F(ConversationTest, HelloSwitchesFromItsOwnReplyOnAndNotBefore) {
+  put("GET a\r\nHELLO 3\r\nGET b\r\nHELLO 2\r\nGET c\r\n");
+  const auto asks = talk.take_asks();
+  ASSERT_EQ(asks.size(), 3U);
+  for (std::size_t i = 3; i-- > 0;) {
+    node::Reply absent;
+    absent.absent = true;
+    talk.answered(asks[i].tag, std::move(absent));
+  }
+  const std::string all = out();
+  EXPECT_EQ(all.rfind("$-1\r\n%7\r\n", 0), 0U) << all;
+  EXPECT_NE(all.find("_\r\n*14\r\n"), std::string::npos) << all;
+  EXPECT_EQ(all.substr(all.size() - 5), "$-1\r\n");
+}
+
+TEST_F(ConversationTest, HelloWithWhatIsWrongChangesNothing) {
+  put("HELLO 4\r\nHELLO 3 SETNAME\r\nHELLO 3 AUTH a b\r\nHELLO x\r\n");
+  const std::string all = out();
+  EXPECT_EQ(all.rfind("-NOPROTO", 0), 0U) << all;
+  EXPECT_EQ(talk.version(), Version::resp2);
+  EXPECT_FALSE(talk.over());
+}
+
+TEST_F(ConversationTest, WhereTheFramingIsLostTheErrorIsTheLastReply) {
+  put("GET a\r\n*1\r\n+GET\r\n");  // a command of the wrong type: its end is known
+  put("*1\r\n$600000000\r\nPING\r\n");
+  const auto asks = talk.take_asks();
+  ASSERT_EQ(asks.size(), 1U);
+  EXPECT_TRUE(talk.over());
+  EXPECT_EQ(out(), "");
+  talk.answered(asks[0].tag, served("A"));
+  EXPECT_EQ(out(),
+            "$1\r\nA\r\n-ERR Protocol error: a command is an array of blobs\r\n"
+            "-ERR Protocol error: a blob is too long\r\n");
+}
+
+TEST_F(ConversationTest, NestedArraysAndAMillionEmptyBlobsEndInAnError) {
+  for (std::string bytes : {std::string("*1000000\r\n"), [] {
+                              std::string deep;
+                              for (int i = 0; i < 10'000; ++i) deep += "*1\r\n";
+                              return deep;
+                            }()}) {
+    Conversation other(rules, 1);
+    other.put(bytes);
+    EXPECT_TRUE(other.over());
+    EXPECT_EQ(other.take_output().rfind("-ERR Protocol error: ", 0), 0U);
+  }
+}
+
+TEST_F(ConversationTest, UsersAreToldFromStrangersAndKeptToTheirTenant) {
+  rules.users = {{"viewer", "secret", "schools"}};
+  Conversation guarded(rules, 1);
+  guarded.put("GET a\r\nAUTH viewer wrong\r\nAUTH viewer secret\r\nGET a\r\nROUTE TENANT other GET a\r\n");
+  const auto asks = guarded.take_asks();
+  ASSERT_EQ(asks.size(), 1U);
+  EXPECT_EQ(asks[0].tenant, "schools");
+  guarded.answered(asks[0].tag, served("A"));
+  EXPECT_EQ(guarded.take_output(),
+            "-NOAUTH Authentication required.\r\n-WRONGPASS invalid username-password pair\r\n+OK\r\n"
+            "$1\r\nA\r\n-NOPERM this user's requests are not that tenant's\r\n");
+  Conversation hello(rules, 2);
+  hello.put("HELLO 3\r\nHELLO 3 AUTH viewer secret SETNAME desk\r\nCLIENT GETNAME\r\n");
+  const std::string all = hello.take_output();
+  EXPECT_EQ(all.rfind("-NOAUTH", 0), 0U);
+  EXPECT_EQ(all.substr(all.size() - 10), "$4\r\ndesk\r\n");
+}
+
+TEST_F(ConversationTest, TheConnectionsOwnCommands) {
+  put("PING hi\r\nECHO x\r\nSELECT 0\r\nSELECT 1\r\nCLIENT ID\r\nCLIENT SETNAME n\r\nCLIENT GETNAME\r\n"
+      "CLIENT SETINFO LIB-NAME x\r\nCLIENT NO-EVICT on\r\nCLIENT KILL x\r\nDEADLINE "
+      "300\r\nRESET\r\nQUIT\r\nPING\r\n");
+  EXPECT_EQ(
+      out(),
+      "$2\r\nhi\r\n$1\r\nx\r\n+OK\r\n-ERR DB index is out of range\r\n:9\r\n+OK\r\n$1\r\nn\r\n+OK\r\n+OK\r\n"
+      "-ERR unknown subcommand or wrong number of arguments for 'client'\r\n+OK\r\n+RESET\r\n+OK\r\n");
+  EXPECT_TRUE(talk.over());
+  EXPECT_FALSE(talk.lost());
+}
+
+TEST_F(ConversationTest, ADeadlineHoldsForTheConnectionUntilRouteTellsAnother) {
+  put("GET a\r\nDEADLINE 300\r\nGET a\r\nROUTE DEADLINE 50 GET a\r\nDEADLINE 0\r\nGET a\r\n");
+  const auto asks = talk.take_asks();
+  ASSERT_EQ(asks.size(), 4U);
+  EXPECT_EQ(asks[0].patience, 0);
+  EXPECT_EQ(asks[1].patience, 300'000);
+  EXPECT_EQ(asks[2].patience, 50'000);
+  EXPECT_EQ(asks[3].patience, 0);
+}
+
+TEST_F(ConversationTest, EachKeysWriteHasAKeyOfItsOwn) {
+  put("ROUTE KEY k DEL a b\r\n");
+  const auto asks = talk.take_asks();
+  ASSERT_EQ(asks.size(), 2U);
+  EXPECT_NE(asks[0].idempotency_key, asks[1].idempotency_key);
+}
+
+}  // namespace
+}  // namespace streampick::resp::test
--- /dev/null
+++ b/tests/resp/loopback_test.cpp
@@ -0,0 +1,546 @@
+// RESP from end to end over loopback sockets: both sides, and the failures they are meant for.
+#include "resp/resp_loopback.h"
+
+namespace streampick::node::test {
+namespace {
+
+// ---- A RESP front over HTTP caches
+
+TEST_F(RespLoopback, AGetIsCarriedToHttpCachesAndTheValueComesBack) {
+  std::string body;
+  for (int i = 0; i < 3000; ++i) body += static_cast<char>(i % 256);
+  cache.answer = [&](const std::string&) { return response(200, body); };
+  start_http();
+  const auto one = resp_client();
+  one->ask({"GET", "sheet 7/2"});
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 1; }));
+  EXPECT_EQ(one->reply(0), Value::blob(body));
+  EXPECT_EQ(cache.requests.at(0).rfind("GET /read/sheet%207%2F2 HTTP/1.1\r\n", 0), 0U) << cache.requests[0];
+}
+
+TEST_F(RespLoopback, ASetIsAPutWithAKeyAndWhatNobodyHasIsNull) {
+  cache.answer = [](const std::string&) { return response(404); };
+  origin.answer = [](const std::string& request) {
+    return request.rfind("PUT", 0) == 0 ? response(200, "stored") : response(404);
+  };
+  start_http();
+  const auto one = resp_client();
+  one->raw(command({"SET", "k", "value"}) + command({"GET", "k"}) + command({"EXISTS", "k"}) +
+           command({"DEL", "k"}) + command({"MGET", "a", "b"}));
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 5; }));
+  EXPECT_EQ(one->reply(0), Value::simple("OK"));
+  EXPECT_TRUE(one->reply(1).is_null());
+  EXPECT_EQ(one->reply(2), Value::integer(0));
+  EXPECT_TRUE(one->reply(3).is_error());
+  EXPECT_EQ(one->reply(4).items.size(), 2U);
+  const auto put = std::find_if(origin.requests.begin(), origin.requests.end(),
+                                [](const std::string& request) { return request.rfind("PUT", 0) == 0; });
+  ASSERT_NE(put, origin.requests.end());
+  EXPECT_NE(put->find("Idempotency-Key: "), std::string::npos);
+  EXPECT_EQ(put->substr(put->size() - 5), "value");
+}
+
+TEST_F(RespLoopback, AKeyIsTheSameKeyAtEitherFront) {
+  FakeServer second(io), third(io);
+  cache.answer = second.answer = third.answer = [](const std::string&) { return response(200, "x"); };
+  start_with(std::string(kFront) + "write_class = \"save\"\n",
+             list_json(1, true,
+                       {{"s-1", cache.address()},
+                        {"s-2", second.address()},
+                        {"s-3", third.address()},
+                        {"s-o", origin.address(), "origin"}}));
+  const auto resp = resp_client();
+  const auto http = client();
+  for (std::size_t i = 0; i < 12; ++i) {
+    const std::string key =
+        i % 2 == 0 ? std::string("7f3a9c21e0b4d65") + "0123456789abcdef"[i] : "sheet-" + std::to_string(i);
+    resp->ask({"GET", key});
+    ASSERT_TRUE(wait_for([&] { return resp->replies.size() == i + 1; }));
+    http->ask(request_text("GET", "/read/" + key, "read"));
+    ASSERT_TRUE(wait_for([&] { return http->answers.size() == i + 1; }));
+  }
+  std::map<std::string, std::size_t> asked;
+  for (const FakeServer* server : {&cache, &second, &third}) {
+    std::map<std::string, std::size_t> here;
+    for (const std::string& request : server->requests) ++here[request.substr(0, request.find("\r\n"))];
+    for (const auto& [line, count] : here) EXPECT_EQ(count, 2U) << line;
+  }
+}
+
+// ---- RESP caches
+
+TEST_F(RespLoopback, AMissGoesToTheOriginAndItsValueIsStoredWhereItMissed) {
+  add_caches(1);
+  store.values["k"] = "from the store";
+  start_resp();
+  const auto one = resp_client();
+  one->ask({"GET", "k"});
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 1; }));
+  EXPECT_EQ(one->reply(0), Value::blob("from the store"));
+  ASSERT_TRUE(wait_for([&] { return caches[0]->stores == 1; }));
+  EXPECT_EQ(caches[0]->values["k"], "from the store");
+  one->ask({"GET", "k"});
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 2; }));
+  EXPECT_EQ(store.commands, 1U);
+  one->ask({"GET", "nowhere"});
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 3; }));
+  EXPECT_TRUE(one->reply(2).is_null());
+  EXPECT_EQ(caches[0]->stores, 1U);
+}
+
+TEST_F(RespLoopback, CommandsOfTheTableReachTheSourceAndAreSpelledRight) {
+  add_caches(2);
+  store.values = {{"a", "1"}, {"b", "22"}};
+  start_resp();
+  const auto one = resp_client();
+  one->raw(command({"MGET", "a", "b", "c"}) + command({"EXISTS", "a", "b", "c"}) + command({"STRLEN", "b"}) +
+           command({"TTL", "a"}) + command({"TTL", "c"}) + command({"SET", "a", "new", "GET"}) +
+           command({"GETDEL", "a"}) + command({"GETDEL", "a"}) + command({"DEL", "b", "c"}));
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 9; }));
+  ASSERT_EQ(one->reply(0).items.size(), 3U);
+  EXPECT_EQ(one->reply(0).items[1], Value::blob("22"));
+  EXPECT_TRUE(one->reply(0).items[2].is_null());
+  EXPECT_EQ(one->reply(1), Value::integer(2));
+  EXPECT_EQ(one->reply(2), Value::integer(2));
+  EXPECT_EQ(one->reply(3), Value::integer(-1));
+  EXPECT_EQ(one->reply(4), Value::integer(-2));
+  EXPECT_EQ(one->reply(8), Value::integer(1));
+}
+
+// What a client has written it reads, also when it does not wait for the reply in between.
+TEST_F(RespLoopback, PipelinedCommandsOnOneKeyKeepTheirOrderAndWritesVoidTheCopies) {
+  add_caches(2);
+  store.values = {{"k", "old"}};
+  for (const auto& one : caches) one->values = store.values;
+  start_resp("write_class = \"pay\"\n", "store_ms = 60000\n");
+  const auto one = resp_client();
+  one->raw(command({"SET", "k", "1"}) + command({"SET", "k", "2"}) + command({"DEL", "k"}) +
+           command({"SET", "k", "3"}));
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 4; }));
+  EXPECT_EQ(one->reply(2), Value::integer(1));
+  EXPECT_EQ(store.values["k"], "3");
+  ASSERT_TRUE(wait_for([&] { return !caches[0]->values.contains("k") && !caches[1]->values.contains("k"); }));
+  one->raw(command({"GET", "k"}) + command({"SET", "k", "4"}) + command({"GET", "other"}));
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 7; }));
+  EXPECT_EQ(one->reply(4), Value::blob("3"));
+  EXPECT_EQ(one->reply(5), Value::simple("OK"));
+}
+
+TEST_F(RespLoopback, AnHttpFrontOverRespCachesServesAsOverOthers) {
+  add_caches(1);
+  store.values["k"] = "tile";
+  start_with(kServers,
+             list_json(1, true, {{"c-0", caches[0]->address()}, {"s-o", store.address(), "origin"}}));
+  const auto one = client();
+  one->ask(request_text("GET", "/read/k", "read"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 200);
+  EXPECT_EQ(one->body(), "tile");
+  one->ask(request_text("PUT", "/pay/k2", "pay", "drawing"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 2; }));
+  EXPECT_EQ(one->status(1), 200);
+  EXPECT_EQ(store.values["k2"], "drawing");
+}
+
+TEST_F(RespLoopback, AnOldServerIsSpokenToInResp2AndAWrongPasswordServesNobody) {
+  RespCache old(io, {.speaks_resp3 = false, .password = "p"});
+  RespCache closed(io, {.password = "other"});
+  old.values["k"] = "old";
+  start_with(std::string(kFront) + "write_class = \"pay\"\n" + kServers + "password = \"p\"\n",
+             list_json(1, true, {{"c-0", old.address()}, {"s-o", closed.address(), "origin"}}));
+  const auto one = resp_client();
+  one->raw(command({"GET", "k"}) + command({"ROUTE", "DEADLINE", "700", "SET", "k", "v"}));
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 2; }));
+  EXPECT_EQ(one->reply(0), Value::blob("old"));
+  EXPECT_EQ(one->reply(1).text.rfind("TRYAGAIN", 0), 0U) << one->reply(1).text;
+  EXPECT_EQ(closed.commands, 0U);
+}
+
+// ---- The failures
+
+TEST_F(RespLoopback, RepliesKeepTheirOrderThoughTheFirstStalls) {
+  add_caches(3);
+  for (const auto& one : caches)
+    for (int i = 0; i < 20; ++i) one->values["k" + std::to_string(i)] = "v" + std::to_string(i);
+  for (const auto& one : caches)
+    one->script = [](const std::vector<std::string>& words, std::size_t) {
+      return words.size() > 1 && words[1] == "k0" ? Fault{Fault::Kind::stall} : Fault{};
+    };
+  start_resp();
+  const auto one = resp_client();
+  std::string bytes;
+  for (int i = 0; i < 20; ++i) bytes += command({"GET", "k" + std::to_string(i)});
+  one->raw(bytes);
+  ASSERT_TRUE(wait_for([&] { return host->counts().served == 19; }));
+  EXPECT_TRUE(one->replies.empty());
+  for (const auto& stalled : caches) stalled->release();
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 20; }));
+  for (std::size_t i = 0; i < 20; ++i) EXPECT_EQ(one->reply(i), Value::blob("v" + std::to_string(i)));
+}
+
+// What was answered stands; reads go elsewhere; a write that may have run does not run again.
+TEST_F(RespLoopback, ACacheThatClosesMidwayCostsNoReadAndNoWriteTwice) {
+  add_caches(3);
+  bool closed = false;
+  for (const auto& one : caches) {
+    for (int i = 0; i < 40; ++i) one->values["k" + std::to_string(i)] = "v" + std::to_string(i);
+    one->script = [&](const std::vector<std::string>&, std::size_t nth) {
+      return nth == 5 && !std::exchange(closed, true) ? Fault{Fault::Kind::close_mid_reply} : Fault{};
+    };
+  }
+  std::size_t saves = 0;
+  store.script = [&](const std::vector<std::string>&, std::size_t) {
+    return ++saves == 2 ? Fault{Fault::Kind::close} : Fault{};
+  };
+  start_resp("write_class = \"pay\"\n", "connections = 1\npipeline = 32\nstore_queue = 0\n");
+  const auto one = resp_client();
+  std::string bytes;
+  for (int i = 0; i < 40; ++i) bytes += command({"GET", "k" + std::to_string(i)});
+  for (int i = 0; i < 3; ++i) bytes += command({"SET", "w" + std::to_string(i), "x"});
+  one->raw(bytes);
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 43; }));
+  EXPECT_TRUE(closed);
+  EXPECT_GE(outcomes(Outcome::reset) + outcomes(Outcome::connect_failed), 2U);
+  for (std::size_t i = 0; i < 40; ++i) EXPECT_EQ(one->reply(i), Value::blob("v" + std::to_string(i)));
+  EXPECT_EQ(one->reply(41).text, "UNAVAILABLE failed; it may have run");
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(store.executions["SET w" + std::to_string(i)], 1U);
+}
+
+TEST_F(RespLoopback, PushesBetweenRepliesAndWithinThemAreNobodysAnswer) {
+  add_caches(1);
+  std::size_t turn = 0;
+  for (int i = 0; i < 30; ++i) caches[0]->values["k" + std::to_string(i)] = "v" + std::to_string(i);
+  caches[0]->script = [&](const std::vector<std::string>&, std::size_t) {
+    return Fault{++turn % 2 == 0 ? Fault::Kind::push_before : Fault::Kind::push_after};
+  };
+  start_resp("write_class = \"pay\"\n", "connections = 1\npipeline = 32\n");
+  const auto one = resp_client();
+  for (int round = 0; round < 2; ++round) {
+    std::string bytes;
+    for (int i = 0; i < 30; ++i) bytes += command({"GET", "k" + std::to_string(i)});
+    one->raw(bytes);
+    ASSERT_TRUE(wait_for([&] { return one->replies.size() == 30U * static_cast<std::size_t>(round + 1); }));
+    caches[0]->push_to_all("invalidate");  // on a connection at rest
+  }
+  for (std::size_t i = 0; i < 60; ++i) EXPECT_EQ(one->reply(i), Value::blob("v" + std::to_string(i % 30)));
+  EXPECT_GE(host->resp_servers().pushes, 60U);
+  EXPECT_EQ(host->counts().served, 60U);
+  EXPECT_EQ(caches[0]->accepted, 1U);  // none of it cost the connection
+}
+
+TEST_F(RespLoopback, AnAggregateWithAPushInItIsStillOneReplyAndOfTheWrongType) {
+  add_caches(1);
+  caches[0]->values = {{"a", "1"}, {"b", "2"}};
+  caches[0]->script = [&](const std::vector<std::string>& words, std::size_t) {
+    return words.at(1) == "a" ? Fault{Fault::Kind::push_inside} : Fault{};
+  };
+  store.values = {{"a", "from the store"}};
+  start_resp("write_class = \"pay\"\n", "connections = 1\npipeline = 32\nstore_queue = 0\n");
+  const auto one = resp_client();
+  one->raw(command({"GET", "b"}) + command({"GET", "a"}) + command({"GET", "b"}) + command({"GET", "b"}));
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 4; }));
+  for (const std::size_t i : {0U, 2U, 3U}) EXPECT_EQ(one->reply(i), Value::blob("2"));
+  EXPECT_GE(outcomes(Outcome::spoilt), 1U);
+  EXPECT_GE(host->resp_servers().pushes, 1U);
+}
+
+TEST_F(RespLoopback, ALateReplyIsNotTheNextRequestsAndCostsNoConnection) {
+  add_caches(1);
+  caches[0]->values = {{"slow", "late"}, {"k", "right"}};
+  caches[0]->script = [&](const std::vector<std::string>& words, std::size_t) {
+    return words.at(1) == "slow" ? Fault{Fault::Kind::stall} : Fault{};
+  };
+  start_resp("write_class = \"pay\"\n", "connections = 1\npipeline = 8\nstore_queue = 0\n");
+  const auto one = resp_client();
+  one->ask({"ROUTE", "DEADLINE", "300", "GET", "slow"});
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 1; }));
+  EXPECT_TRUE(one->reply(0).is_error());
+  one->ask({"GET", "k"});  // behind it, on the only connection
+  quiet(50);
+  caches[0]->release();
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 2; }));
+  EXPECT_EQ(one->reply(1), Value::blob("right"));
+  EXPECT_EQ(host->resp_servers().passed_over, 1U);
+  EXPECT_EQ(caches[0]->accepted, 1U);
+}
+
+TEST_F(RespLoopback, ADrainingCacheWithAFullPipelineAnswersWhatItHasAndGetsNothingNew) {
+  add_caches(2);
+  for (const auto& one : caches)
+    for (int i = 0; i < 60; ++i) one->values["k" + std::to_string(i)] = "v" + std::to_string(i);
+  bool stalls = true;
+  caches[0]->script = [&](const std::vector<std::string>&, std::size_t) {
+    return stalls ? Fault{Fault::Kind::stall} : Fault{};
+  };
+  caches[1]->script = caches[0]->script;
+  start_resp("write_class = \"pay\"\n", "connections = 1\npipeline = 16\nstore_queue = 0\n");
+  accept_watch();
+  const auto one = resp_client();
+  std::string bytes;
+  for (int i = 0; i < 40; ++i) bytes += command({"GET", "k" + std::to_string(i)});
+  one->raw(bytes);
+  ASSERT_TRUE(wait_for([&] { return caches[0]->unreplied() > 1 && caches[1]->unreplied() > 1; }));
+  tell(2, {{0, "terminating"}});
+  quiet(2'100);  // past the grace
+  const std::uint64_t before = caches[0]->commands + caches[0]->unreplied() - 1;
+  stalls = false;
+  for (const auto& cache_ : caches) cache_->release();
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 40; }));
+  for (int i = 40; i < 60; ++i) one->ask({"GET", "k" + std::to_string(i)});
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 60; }));
+  for (std::size_t i = 40; i < 60; ++i) EXPECT_EQ(one->reply(i), Value::blob("v" + std::to_string(i)));
+  EXPECT_LE(caches[0]->commands, before);
+}
+
+TEST_F(RespLoopback, ADrainNoticeOnAConnectionIsHeeded) {
+  add_caches(1);
+  caches[0]->values = {{"k", "v"}};
+  start_resp("write_class = \"pay\"\n", "connections = 1\n");
+  const auto one = resp_client();
+  one->ask({"GET", "k"});
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 1; }));
+  caches[0]->say_draining();
+  ASSERT_TRUE(wait_for([&] { return caches[0]->open() == 0; }));
+  one->ask({"GET", "k"});
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 2; }));
+  EXPECT_EQ(caches[0]->accepted, 2U);
+}
+
+TEST_F(RespLoopback, WhatASpoiltReplyLeavesIsNeverAnothersAnswer) {
+  for (const Fault::Kind kind :
+       {Fault::Kind::noise, Fault::Kind::extra_reply, Fault::Kind::endless_length, Fault::Kind::wrong_type,
+        Fault::Kind::half_close, Fault::Kind::close_unseen}) {
+    caches.clear();
+    add_caches(3);
+    std::size_t turn = 0;
+    for (const auto& one : caches) {
+      for (int i = 0; i < 30; ++i) one->values["k" + std::to_string(i)] = "v" + std::to_string(i);
+      one->script = [&](const std::vector<std::string>&, std::size_t) {
+        return ++turn % 7 == 0 ? Fault{kind} : Fault{};
+      };
+    }
+    store.values = caches[0]->values;
+    // A reply too many shifts all that are owed behind it, and nothing in RESP tells: one at a time, then.
+    const std::string pipeline = kind == Fault::Kind::extra_reply ? "pipeline = 1\n" : "pipeline = 4\n";
+    start_resp("write_class = \"pay\"\n", "connections = 2\nstore_queue = 0\n" + pipeline);
+    const auto one = resp_client();
+    std::string bytes;
+    for (int i = 0; i < 30; ++i)
+      bytes += command({"ROUTE", "DEADLINE", "3000", "GET", "k" + std::to_string(i)});
+    one->raw(bytes);
+    ASSERT_TRUE(wait_for([&] { return one->replies.size() == 30; })) << static_cast<int>(kind);
+    std::size_t served = 0;
+    for (std::size_t i = 0; i < 30; ++i) {
+      if (one->reply(i).is_error()) continue;
+      ++served;
+      EXPECT_EQ(one->reply(i), Value::blob("v" + std::to_string(i))) << static_cast<int>(kind);
+    }
+    EXPECT_GE(served, 25U) << static_cast<int>(kind);
+    host.reset();
+  }
+}
+
+// ---- Clients
+
+TEST_F(RespLoopback, AClientThatPipelinesTenThousandAndReadsNothingStopsNobody) {
+  add_caches(1);
+  caches[0]->values["k"] = std::string(8'000, 'x');
+  start_resp();
+  tcp::socket deaf(io);
+  deaf.open(tcp::v4());
+  deaf.set_option(asio::socket_base::receive_buffer_size(4096));
+  deaf.connect(host->resp()->address());
+  auto bytes = std::make_shared<std::string>();
+  for (int i = 0; i < 10'000; ++i) *bytes += command({"GET", "k"});
+  asio::async_write(deaf, asio::buffer(*bytes), [bytes](error_code, std::size_t) {});
+  ASSERT_TRUE(wait_for([&] { return caches[0]->commands >= 64; }));
+  quiet(300);
+  const std::uint64_t taken = host->counts().asked;
+  EXPECT_LT(taken, 2'000U);  // what fits into sockets and a pipeline, and no more
+  const auto other = resp_client();
+  other->ask({"GET", "k"});
+  ASSERT_TRUE(wait_for([&] { return other->replies.size() == 1; }));
+  EXPECT_EQ(other->reply(0).text.size(), 8'000U);
+  quiet(200);
+  EXPECT_LT(host->counts().asked, taken + 100);
+}
+
+TEST_F(RespLoopback, AllOfTenThousandArePipelinedAndAnsweredInOrderToOneWhoReads) {
+  add_caches(2);
+  for (const auto& one : caches)
+    for (int i = 0; i < 100; ++i) one->values["k" + std::to_string(i)] = "v" + std::to_string(i);
+  start_resp();
+  const auto one = resp_client();
+  auto bytes = std::make_shared<std::string>();
+  for (int i = 0; i < 10'000; ++i) *bytes += command({"GET", "k" + std::to_string(i % 100)});
+  asio::async_write(one->peer->socket, asio::buffer(*bytes), [bytes](error_code, std::size_t) {});
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 10'000; })) << one->replies.size();
+  std::size_t wrong = 0;
+  for (std::size_t i = 0; i < 10'000; ++i)
+    wrong += one->reply(i) == Value::blob("v" + std::to_string(i % 100)) ? 0U : 1U;
+  EXPECT_EQ(wrong, 0U);
+}
+
+TEST_F(RespLoopback, AClientThatClosesWithAHundredInFlightIsWithdrawnAndNothingMoreIsSent) {
+  add_caches(2);
+  for (const auto& one : caches)
+    one->script = [](const std::vector<std::string>&, std::size_t) { return Fault{Fault::Kind::stall}; };
+  start_resp("write_class = \"pay\"\npipeline = 128\n", "connections = 4\npipeline = 4\nstore_queue = 0\n");
+  auto one = resp_client();
+  std::string bytes;
+  for (int i = 0; i < 100; ++i) bytes += command({"GET", "k" + std::to_string(i)});
+  one->raw(bytes);
+  ASSERT_TRUE(wait_for([&] { return host->counts().asked == 100; }));
+  ASSERT_TRUE(wait_for([&] { return commands() + caches[0]->unreplied() + caches[1]->unreplied() >= 16; }));
+  one.reset();
+  const Engine::Counts& counts = host->counts();
+  ASSERT_TRUE(wait_for([&] { return counts.withdrawn + counts.refused + counts.failed == 100; }));
+  EXPECT_GT(counts.withdrawn, 50U);
+  quiet(50);
+  const std::uint64_t attempts = host->counts().attempts;
+  for (const auto& cache_ : caches) cache_->release();
+  quiet(1'500);
+  EXPECT_EQ(host->counts().attempts, attempts);
+  EXPECT_EQ(host->resp()->open(), 0U);
+}
+
+TEST_F(RespLoopback, BadInputGetsAnErrorAndTheCloseAndNobodyElseNotices) {
+  add_caches(1);
+  caches[0]->values["k"] = "v";
+  start_resp();
+  const auto good = resp_client();
+  std::string deep, million = "*1000000\r\n";
+  for (int i = 0; i < 10'000; ++i) deep += "*1\r\n";
+  for (int i = 0; i < 1'000'000; ++i) million += "$0\r\n\r\n";
+  std::size_t replies = 0;
+  for (const std::string& bytes :
+       {std::string("*3\r\n$3\r\nSET\r\n$1\r\nk\r\n$536870912\r\nxxxx"), deep, million,
+        std::string("*1\r\n$-5\r\n"), std::string("*-7\r\n"), std::string("*1\r\n$3\r\nGETxx"),
+        std::string("GET \"k\r\n"), std::string(70'000, 'x')}) {
+    const auto bad = resp_client();
+    auto keep = std::make_shared<std::string>(bytes);
+    asio::async_write(bad->peer->socket, asio::buffer(*keep),
+                      [keep, peer = bad->peer](error_code, std::size_t) {});
+    ASSERT_TRUE(wait_for([&] { return bad->peer->ended; })) << bytes.substr(0, 60);
+    ASSERT_EQ(bad->replies.size(), 1U) << bytes.substr(0, 60);
+    EXPECT_EQ(bad->reply(0).text.rfind("ERR Protocol error: ", 0), 0U) << bad->reply(0).text;
+    good->ask({"GET", "k"});
+    ++replies;
+    ASSERT_TRUE(wait_for([&] { return good->replies.size() == replies; }));
+    EXPECT_EQ(good->reply(replies - 1), Value::blob("v"));
+  }
+}
+
+TEST_F(RespLoopback, MoreClientsThanPlacesAreToldSoOrTakeAnIdleOnesPlace) {
+  add_caches(1);
+  caches[0]->values["k"] = "v";
+  caches[0]->script = [](const std::vector<std::string>& words, std::size_t) {
+    return words.at(1) == "slow" ? Fault{Fault::Kind::stall} : Fault{};
+  };
+  start_resp("write_class = \"pay\"\nmost_clients = 2\n", "store_queue = 0\n");
+  const auto busy = resp_client();
+  busy->ask({"GET", "slow"});
+  ASSERT_TRUE(wait_for([&] { return host->counts().asked == 1; }));
+  const auto idle = resp_client();
+  idle->ask({"GET", "k"});
+  ASSERT_TRUE(wait_for([&] { return idle->replies.size() == 1; }));
+  const auto third = resp_client();
+  ASSERT_TRUE(wait_for([&] { return third->peer->ended; }));
+  ASSERT_EQ(third->replies.size(), 1U);
+  EXPECT_EQ(third->reply(0).text, "ERR max number of clients reached");
+  quiet(1'100);  // now the idle one may go
+  const auto fourth = resp_client();
+  fourth->ask({"GET", "k"});
+  ASSERT_TRUE(wait_for([&] { return fourth->replies.size() == 1; }));
+  EXPECT_EQ(fourth->reply(0), Value::blob("v"));
+  EXPECT_TRUE(wait_for([&] { return idle->peer->ended; }));
+  EXPECT_FALSE(busy->peer->ended);
+}
+
+TEST_F(RespLoopback, ManyRequestsOfAllClientsTogetherAreHeldWithinABoundAndAllAnswered) {
+  add_caches(1);
+  for (int i = 0; i < 50; ++i) caches[0]->values["k" + std::to_string(i)] = "v";
+  start_resp("write_class = \"pay\"\nmost_requests = 8\n", "store_queue = 0\n");
+  std::vector<std::unique_ptr<RespClient>> all;
+  std::string bytes;
+  for (int i = 0; i < 50; ++i) bytes += command({"GET", "k" + std::to_string(i)});
+  for (int i = 0; i < 10; ++i) {
+    all.push_back(resp_client());
+    all.back()->raw(bytes);
+  }
+  ASSERT_TRUE(wait_for([&] {
+    return std::all_of(all.begin(), all.end(), [](const auto& one) { return one->replies.size() == 50; });
+  }));
+  EXPECT_EQ(host->counts().served, 500U);
+}
+
+TEST_F(RespLoopback, AnIdThatIsOpenIsToldSo) {
+  add_caches(1);
+  caches[0]->script = [](const std::vector<std::string>&, std::size_t) { return Fault{Fault::Kind::stall}; };
+  start_resp("write_class = \"pay\"\n", "store_queue = 0\n");
+  const auto one = resp_client(), two = resp_client();
+  one->ask({"ROUTE", "ID", "00000000000000aa", "GET", "k"});
+  ASSERT_TRUE(wait_for([&] { return host->counts().asked == 1; }));
+  two->ask({"ROUTE", "ID", "00000000000000aa", "GET", "k"});
+  ASSERT_TRUE(wait_for([&] { return two->replies.size() == 1; }));
+  EXPECT_EQ(two->reply(0).text.rfind("DUPLICATE", 0), 0U);
+}
+
+TEST_F(RespLoopback, ToldToStopItAnswersWhatWasPipelinedAndEnds) {
+  add_caches(1);
+  caches[0]->values = {{"slow", "s"}, {"k", "v"}};
+  caches[0]->script = [](const std::vector<std::string>& words, std::size_t) {
+    return words.at(1) == "slow" ? Fault{Fault::Kind::stall} : Fault{};
+  };
+  start_resp("write_class = \"pay\"\n", "connections = 2\nstore_queue = 0\n");
+  const auto one = resp_client(), idle = resp_client();
+  one->raw(command({"GET", "slow"}) + command({"GET", "k"}));
+  ASSERT_TRUE(wait_for([&] { return host->counts().served == 1; }));
+  bool done = false;
+  host->drain([&] { done = true; });
+  ASSERT_TRUE(wait_for([&] { return idle->peer->ended; }));
+  quiet(800);
+  EXPECT_FALSE(done);
+  caches[0]->release();
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 2; }));
+  EXPECT_EQ(one->reply(0), Value::blob("s"));
+  EXPECT_EQ(one->reply(1), Value::blob("v"));
+  EXPECT_TRUE(wait_for([&] { return done; }));
+}
+
+// What the kernel held when accepting ended was taken, though nobody had read it yet.
+TEST_F(RespLoopback, ToldToStopItAnswersWhatWasNotReadYetToo) {
+  add_caches(1);
+  for (int i = 0; i < 300; ++i) caches[0]->values["k" + std::to_string(i)] = "v" + std::to_string(i);
+  caches[0]->script = [](const std::vector<std::string>& words, std::size_t) {
+    return words.at(1) == "k0" ? Fault{Fault::Kind::stall} : Fault{};
+  };
+  start_resp("write_class = \"pay\"\npipeline = 4\n", "connections = 4\nstore_queue = 0\n");
+  const auto one = resp_client();
+  std::string bytes;
+  for (int i = 0; i < 300; ++i) bytes += command({"GET", "k" + std::to_string(i)});
+  one->raw(bytes);
+  ASSERT_TRUE(wait_for([&] { return host->counts().served == 3; }));
+  bool done = false;
+  host->drain([&] { done = true; });
+  quiet(700);
+  EXPECT_EQ(host->counts().asked, 4U);
+  caches[0]->release();
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 300; })) << one->replies.size();
+  EXPECT_EQ(one->reply(299), Value::blob("v299"));
+  EXPECT_TRUE(wait_for([&] { return done; }));
+}
+
+TEST_F(RespLoopback, GivenUpIsAnsweredAtOnceAndSaysWhenToComeBack) {
+  add_caches(1);
+  caches[0]->stop_listening();
+  store.stop_listening();
+  start_resp();
+  const auto one = resp_client();
+  one->ask({"SET", "k", "v"});
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 1; }));
+  EXPECT_EQ(one->reply(0).text.rfind("TRYAGAIN refused, nothing ran; come back in ", 0), 0U);
+}
+
+}  // namespace
+}  // namespace streampick::node::test
--- /dev/null
+++ b/tests/resp/options_test.cpp
@@ -0,0 +1,91 @@
+// The options file and the command line.
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "resp/resp_loopback.h"
+
+namespace streampick::node::test {
+namespace {
+
+std::string error_of(const std::string& toml, const nlohmann::json& change = {}) {
+  nlohmann::json config = config_json("127.0.0.1:9", list_json(1, true, {}));
+  if (!change.is_null()) config.merge_patch(change);
+  try {
+    Options options = parse_options(toml, "o.toml");
+    resolve(options, parse_settings(config.dump()));
+  } catch (const OptionsError& error) {
+    return error.what();
+  }
+  return "";
+}
+
+TEST(RespOptions, AMistakeIsToldInOneLineWithFileLineAndKey) {
+  const std::string front = "[resp.front]\nlisten = \"127.0.0.1:1\"\nwrite_class = \"pay\"\n";
+  EXPECT_EQ(error_of(front), "");
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"[resp.front]\n", "o.toml:1: resp.front.listen: it is missing"},
+      {"[resp.front]\nlisten = \"localhost:1\"\n",
+       "o.toml:2: resp.front.listen: expected ADDRESS:PORT, the address in numbers"},
+      {front + "pipelin = 3\n", "o.toml:4: resp.front.pipelin: there is no such key"},
+      {front + "pipeline = 0\n", "o.toml:4: resp.front.pipeline: expected a whole number from 1 to 4096"},
+      {front + "pipeline = \"many\"\n",
+       "o.toml:4: resp.front.pipeline: expected a whole number from 1 to 4096"},
+      {front + "[[resp.front.users]]\nname = \"a\"\n",
+       "o.toml:4: resp.front.users[0].password: it is missing"},
+      {front + "[resp.servers]\nkinds = [\"tin\"]\n",
+       "o.toml: resp.servers.kinds: 'tin' is not among the settings' Shapes"},
+      {front + "[resp.servers]\nconnections = 4.5\n",
+       "o.toml:5: resp.servers.connections: expected a whole number from 1 to 256"},
+      {front + "[resp.servers]\nwrites_alone = 1\n",
+       "o.toml:5: resp.servers.writes_alone: expected true or false"},
+      {front + "[resp.servers]\nuser = \"u\"\n", "o.toml:5: resp.servers.user: a user needs a password"},
+      {front + "read_class = \"pay\"\n", "o.toml: resp.front.read_class: 'pay' is not safe to repeat"},
+      {front + "read_class = \"none\"\n",
+       "o.toml: resp.front.read_class: 'none' is not among the settings' Profiles"},
+      {front + "most_clients = 5000\n",
+       "o.toml: resp.front.most_clients: of 112 descriptors for clients it must leave 8 to the HTTP side"},
+      {front + "tenant = \"t\"\n", "o.toml: resp.front.tenant: 't' is not among the settings' Tenants"},
+      {"[resp]\nfront = 3\n", "o.toml:2: resp.front: expected a table"},
+      {"[grpc]\n", "o.toml:1: grpc: there is no such key"},
+  };
+  for (const auto& [toml, error] : cases) EXPECT_EQ(error_of(toml), error) << toml;
+  EXPECT_EQ(error_of("[resp.front\n").rfind("o.toml:1: ", 0), 0U);
+  EXPECT_EQ(error_of("[resp.front\n").find('\n'), std::string::npos);
+  EXPECT_NE(error_of("[resp.front]\nlisten = \"127.0.0.1:1\"\nwrite_class = \"save\"\n[resp.servers]\n")
+                .find("resp.servers.send_ids: the class 'save' is keyed"),
+            std::string::npos);
+}
+
+int run(const std::string& arguments, std::string& output) {
+  const auto file =
+      std::filesystem::path(::testing::TempDir()) / ("streampick_cli_" + std::to_string(::getpid()));
+  const int status = std::system((arguments + " > '" + file.string() + "' 2>&1").c_str());
+  std::ifstream in(file);
+  output.assign(std::istreambuf_iterator<char>(in), {});
+  std::filesystem::remove(file);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+TEST(RespOptions, TheCommandLineChecksAndTells) {
+  const std::string router = "env -u NODE_CONFIG " STREAMPICK_ROUTER " ";
+  std::string out;
+  EXPECT_EQ(run(router + "--version", out), 0);
+  EXPECT_EQ(out.rfind("streampick_router ", 0), 0U);
+  EXPECT_EQ(run(router + "--help", out), 0);
+  EXPECT_NE(out.find("--options"), std::string::npos);
+  EXPECT_EQ(run(router + "--nonsense", out), 2);
+  EXPECT_EQ(std::count(out.begin(), out.end(), '\n'), 1) << out;
+  EXPECT_EQ(run(router + "--check --options /nowhere.toml", out), 2);
+  EXPECT_EQ(out, "streampick_router: /nowhere.toml: it can't be read\n");
+  EXPECT_EQ(run(router + "--check --options " STREAMPICK_SOURCE "/deploy/examples/resp.toml", out), 0) << out;
+  EXPECT_NE(out.find("resp.front: on"), std::string::npos) << out;
+  EXPECT_EQ(run(router + "--check", out), 0);
+  EXPECT_NE(out.find("resp.front: off"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace streampick::node::test
