--- a/bench/resp/head_of_line.cpp
+++ b/bench/resp/head_of_line.cpp
@@ -1,5 +1,6 @@
 // How long a save waits behind reads: writes alone on their connection against writes that share it, on a
-// cache of which one read in fifty takes 200 ms. One connection a server for sharing to be tried at all.
+// cache that takes 3 ms for a command and stalls for up to 200 ms on one read in a hundred; 500 commands a
+// second, one in ten a save: one and a half connections' work.
 //   bench_resp_head_of_line
 #include <algorithm>
 #include <boost/asio.hpp>
@@ -20,11 +21,11 @@
 void run(bool alone, std::size_t connections) {
   asio::io_context io(1);
   Clock clock(io);
-  standin::RespCache cache(io);
+  standin::RespCache cache(io, {.work = std::chrono::microseconds(3'000)});
   std::uint64_t turn = 0;
   std::vector<std::unique_ptr<asio::steady_timer>> timers;
   cache.script = [&](const std::vector<std::string>& words, std::size_t) {
-    if (words[0] != "GET" || ++turn % 50 != 0) return standin::Fault{};
+    if (words[0] != "GET" || ++turn % 100 != 0) return standin::Fault{};
     timers.push_back(std::make_unique<asio::steady_timer>(io, std::chrono::milliseconds(200)));
     timers.back()->async_wait([&](const boost::system::error_code&) { cache.release(); });
     return standin::Fault{standin::Fault::Kind::stall};
--- a/tests/resp/loopback_test.cpp
+++ b/tests/resp/loopback_test.cpp
@@ -292,6 +292,66 @@
   EXPECT_LE(caches[0]->commands, before);
 }
 
+struct Heard final : Outcomes {
+  void attempt_ended(AttemptId attempt, Outcome outcome, Answer) override {
+    ended.emplace_back(attempt, outcome);
+  }
+  std::vector<std::pair<AttemptId, Outcome>> ended;
+};
+
+// The drain counts from first bytes: what waited for its connection past the grace must not go out.
+TEST_F(RespLoopback, AnAttemptThatWaitedPastTheGraceIsNotSent) {
+  add_caches(1);
+  caches[0]->script = [](const std::vector<std::string>&, std::size_t nth) {
+    return nth == 1 ? Fault{Fault::Kind::stall} : Fault{};
+  };
+  Heard heard;
+  Links links;
+  links.most_connections = 8;
+  resp::ServerSettings one_at_a_time;
+  one_at_a_time.connections = one_at_a_time.pipeline = 1;
+  resp::ServerCounts counts;
+  resp::RespTransport transport(io, clock, links, heard, one_at_a_time, counts, "c-0", false);
+  transport.set_address(caches[0]->address());
+  const auto message = std::make_shared<Message>();
+  message->key = "k";
+  for (std::uint32_t i = 0; i < 2; ++i) transport.send({1, i}, message, clock.now() + 8'000'000);
+  ASSERT_TRUE(wait_for([&] { return caches[0]->commands == 1; }));
+  transport.send_nothing_from(clock.now());
+  transport.void_copy("k");
+  transport.keep("k", "v");
+  caches[0]->release();
+  ASSERT_TRUE(wait_for([&] { return heard.ended.size() == 2; }));
+  EXPECT_EQ(heard.ended[0].second, Outcome::served);
+  EXPECT_EQ(heard.ended[1].second, Outcome::not_sent);
+  quiet(50);
+  EXPECT_EQ(caches[0]->commands, 1U);
+}
+
+TEST_F(RespLoopback, WithNoDescriptorOrNoPlaceToWaitAnAttemptNeverRan) {
+  add_caches(1);
+  Heard heard;
+  Links links;  // none for servers
+  resp::ServerSettings servers;
+  servers.waiting = 1;
+  resp::ServerCounts counts;
+  resp::RespTransport transport(io, clock, links, heard, servers, counts, "c-0", false);
+  transport.set_address(caches[0]->address());
+  const auto message = std::make_shared<Message>();
+  transport.send({1, 0}, message, clock.now() + 8'000'000);
+  EXPECT_TRUE(heard.ended.empty());  // never from within send()
+  ASSERT_TRUE(wait_for([&] { return heard.ended.size() == 1; }));
+  EXPECT_EQ(heard.ended[0].second, Outcome::connect_failed);
+  links.most_connections = 1;
+  transport.send({2, 0}, message, clock.now() + 8'000'000);
+  transport.send({2, 1}, message,
+                 clock.now() + 8'000'000);  // one waits for the dial: there is no second place
+  ASSERT_TRUE(wait_for([&] { return heard.ended.size() == 3; }));
+  EXPECT_EQ(heard.ended[1].second, Outcome::connect_failed);
+  EXPECT_EQ(heard.ended[1].first.number, 1U);
+  EXPECT_EQ(heard.ended[2].second, Outcome::served);
+}
+
 TEST_F(RespLoopback, ADrainNoticeOnAConnectionIsHeeded) {
   add_caches(1);
   caches[0]->values = {{"k", "v"}};
@@ -511,14 +571,16 @@
 // What the kernel held when accepting ended was taken, though nobody had read it yet.
 TEST_F(RespLoopback, ToldToStopItAnswersWhatWasNotReadYetToo) {
   add_caches(1);
-  for (int i = 0; i < 300; ++i) caches[0]->values["k" + std::to_string(i)] = "v" + std::to_string(i);
-  caches[0]->script = [](const std::vector<std::string>& words, std::size_t) {
-    return words.at(1) == "k0" ? Fault{Fault::Kind::stall} : Fault{};
+  // More than one read takes.
+  const auto key = [](int i) { return "k" + std::to_string(i) + std::string(100, 'x'); };
+  for (int i = 0; i < 800; ++i) caches[0]->values[key(i)] = "v" + std::to_string(i);
+  caches[0]->script = [&](const std::vector<std::string>& words, std::size_t) {
+    return words.at(1) == key(0) ? Fault{Fault::Kind::stall} : Fault{};
   };
   start_resp("write_class = \"pay\"\npipeline = 4\n", "connections = 4\nstore_queue = 0\n");
   const auto one = resp_client();
   std::string bytes;
-  for (int i = 0; i < 300; ++i) bytes += command({"GET", "k" + std::to_string(i)});
+  for (int i = 0; i < 800; ++i) bytes += command({"GET", key(i)});
   one->raw(bytes);
   ASSERT_TRUE(wait_for([&] { return host->counts().served == 3; }));
   bool done = false;
@@ -526,8 +588,8 @@
   quiet(700);
   EXPECT_EQ(host->counts().asked, 4U);
   caches[0]->release();
-  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 300; })) << one->replies.size();
-  EXPECT_EQ(one->reply(299), Value::blob("v299"));
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 800; })) << one->replies.size();
+  EXPECT_EQ(one->reply(799), Value::blob("v799"));
   EXPECT_TRUE(wait_for([&] { return done; }));
 }
 
