RESP decoder: a line at its limit is read alike in one part and in many

Seen by libFuzzer within seconds: a line of the longest length whose CR ended one part and whose LF began the next was too long, in one part it was not. The cause: the limit on a part did not count the CR. Also a test that an answer coming after its client has left counts for nobody: of twenty faults put into the code by hand it was the third that no test saw.

--- a/src/resp/decode.cpp
+++ b/src/resp/decode.cpp
@@ -103,7 +103,7 @@
     }
     const void* found = std::memchr(rest.data(), '\n', rest.size());
     if (found == nullptr) {
-      if (line_.size() + rest.size() > limits_.line) {
+      if (line_.size() + rest.size() > limits_.line + 1) {  // its CR may be the last that came
         fail("a line is too long");
         break;
       }
--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -128,6 +128,20 @@
   EXPECT_EQ(engine->counts().withdrawn, 1U);
 }
 
+// The source's work goes on for the caches when its client has left: its answer is nobody's.
+TEST_F(EngineTest, AnAnswerThatComesAfterTheEndCountsForNobody) {
+  const RequestId id = ask(kRead);
+  end(0, Outcome::miss);
+  ASSERT_EQ(fleet.sent.size(), 2U);
+  ASSERT_EQ(fleet.sent[1].server, "origin");
+  engine->withdrawn(id);
+  ASSERT_FALSE(fleet.sent[1].forgotten);
+  end(1, Outcome::served, "late");
+  EXPECT_EQ(replies(), 0U);
+  EXPECT_EQ(engine->counts().served, 0U);
+  EXPECT_EQ(engine->counts().outcomes[static_cast<std::size_t>(Outcome::served)], 1U);
+}
+
 TEST_F(EngineTest, AnUnsafeWriteThatMayHaveRunFailsOnceAndSaysSo) {
   ask(kPay);
   ASSERT_EQ(fleet.sent.size(), 1U);
--- a/tests/resp/codec_test.cpp
+++ b/tests/resp/codec_test.cpp
@@ -183,6 +183,18 @@
             "a value is too large");
 }
 
+TEST(RespCodec, ALineOfTheLongestLengthIsReadInOnePartAndInMany) {
+  Limits limits;
+  limits.line = 16;
+  for (std::size_t length = 10; length < 24; ++length) {
+    const std::string bytes = "+" + std::string(length, 'x') + "\r\n";
+    std::string once, many;
+    EXPECT_EQ(decode_all(bytes, bytes.size(), limits, &once), decode_all(bytes, 1, limits, &many));
+    EXPECT_EQ(once, many) << length;
+    EXPECT_EQ(once.empty(), length < 16) << length;
+  }
+}
+
 TEST(RespCodec, WhatIsNotRespIsNotRead) {
   for (const char* bytes : {"hello\r\n",
                             "\r\n",
