Keyed writes to RESP servers that are told no keys count as unsafe

A plain RESP server hears no key and drops none. Change: where writes go to such servers, keyed classes are unsafe for the module, and the log says so. A RESP front's own keyed write class was refused at the start already; that check now looks at where writes go.

--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -35,7 +35,14 @@
       speaks_resp_.push_back(resp_servers_->kinds.empty() ||
                              std::find(resp_servers_->kinds.begin(), resp_servers_->kinds.end(), kind) !=
                                  resp_servers_->kinds.end());
-  begin(settings, options.resp_front ? options.resp_front->settings.most_clients : 0);
+  NodeSettings own = settings;
+  if (repeats_run_twice(options, settings)) {
+    log("keyed classes count as unsafe: the servers that take writes are not told keys "
+        "(resp.servers.send_ids)");
+    for (RequestClass& kind : own.settings.config.classes)
+      if (kind.effect == Effect::keyed) kind.effect = Effect::unsafe;
+  }
+  begin(own, options.resp_front ? options.resp_front->settings.most_clients : 0);
   if (!options.resp_front) return;
   resp_ = std::make_unique<resp::RespFront>(io_, clock_, names_, *engine_, options.resp_front->settings);
   engine_->add(*resp_);
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -230,8 +230,7 @@
        }));
   settings.seed = node.settings.seed ^ 0x52455350U;
   // Where servers can't be told a write's key, they can't drop its repeats.
-  const bool told = !options.resp_servers || options.resp_servers->settings.rules.send_ids;
-  if (settings.write_key && !told)
+  if (settings.write_key && repeats_run_twice(options, node))
     wrong("resp.servers.send_ids",
           "the class '" + names.classes[settings.write_class] +
               "' is keyed: its servers must be told keys to drop repeats, so send_ids must be true, or "
@@ -247,6 +246,17 @@
           "of " + std::to_string(half) + " descriptors for clients it must leave 8 to the HTTP side");
 }
 
+bool repeats_run_twice(const Options& options, const NodeSettings& node) {
+  if (!options.resp_servers || options.resp_servers->settings.rules.send_ids) return false;
+  const Config& config = node.settings.config;
+  const auto& kinds = options.resp_servers->kinds;
+  // Where values have a source, writes go there and nowhere else.
+  if (!config.aside || kinds.empty()) return true;
+  const auto& names = node.settings.names.kinds;
+  return config.origin_kind < names.size() &&
+         std::find(kinds.begin(), kinds.end(), names[config.origin_kind]) != kinds.end();
+}
+
 std::string describe(const Options& options) {
   std::ostringstream out;
   if (options.resp_front)
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -43,6 +43,10 @@
 // Checks the options against the platform's configuration, and fills in what only that tells.
 void resolve(Options& options, const NodeSettings& settings);
 
+// Whether writes go to servers that are told no keys: these drop no repeats, so that what is keyed there is
+// in truth unsafe.
+bool repeats_run_twice(const Options& options, const NodeSettings& settings);
+
 // What is on, a line each.
 std::string describe(const Options& options);
 
--- a/tests/resp/loopback_test.cpp
+++ b/tests/resp/loopback_test.cpp
@@ -142,6 +142,19 @@
   EXPECT_EQ(store.values["k2"], "drawing");
 }
 
+// No key reaches such a server, so that it drops no repeat: a keyed write that may have run is not sent
+// again.
+TEST_F(RespLoopback, AKeyedWriteToServersThatAreToldNoKeysIsUnsafe) {
+  add_caches(1);
+  store.script = [](const std::vector<std::string>&, std::size_t) { return Fault{Fault::Kind::close}; };
+  start_resp();
+  const auto one = client();
+  one->ask(request_text("PUT", "/save/k", "save", "drawing", "8.0", "Idempotency-Key: i\r\n"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 502);
+  EXPECT_EQ(store.executions["SET k"], 1U);
+}
+
 TEST_F(RespLoopback, AnOldServerIsSpokenToInResp2AndAWrongPasswordServesNobody) {
   RespCache old(io, {.speaks_resp3 = false, .password = "p"});
   RespCache closed(io, {.password = "other"});
