--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -17,7 +17,9 @@
 
 bool may_have_run(Outcome outcome) {
   switch (outcome) {
+    case Outcome::served:
     case Outcome::error:
+    case Outcome::rejected:  // found fault with, perhaps halfway
     case Outcome::timeout:
     case Outcome::reset:
     case Outcome::cancelled:
@@ -202,7 +204,7 @@
   if (!attempt.live) return;
   attempt.live = false;
   attempt.missed = outcome == Outcome::miss;
-  if (outcome == Outcome::served || may_have_run(outcome)) open.may_have_run = true;
+  if (may_have_run(outcome)) open.may_have_run = true;
   // What the source of all values lacks, or any server where there is no such source, does not exist.
   if (attempt.missed && (origin_kind_ == kNone || servers_[attempt.server].source)) open.absent = true;
   expiries_.erase({attempt.expires, id.request, id.number});
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -26,7 +26,7 @@
 constexpr Time kWholeRequest = 2'300 * kMs;
 constexpr Time kIdle = 10 * kSecond, kStuck = 10 * kSecond, kLinger = kSecond;
 constexpr Time kYoung = 50 * kMs;  // its first request may still be on its way
-constexpr std::chrono::milliseconds kSweepEvery{100}, kPause{20};
+constexpr std::chrono::milliseconds kSweepEvery{100};
 
 std::optional<std::uint64_t> parse_hex(std::string_view text) {
   std::uint64_t value = 0;
@@ -344,17 +344,14 @@
 
 Clients::Clients(asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
                  const tcp::endpoint& listen, std::size_t most_open)
-    : io_(io),
-      clock_(clock),
+    : clock_(clock),
       names_(names),
       requests_(requests),
-      acceptor_(io, listen, /*reuse_addr=*/true),
-      pause_(io),
+      listener_(io, listen, *this),
       sweep_(io),
       most_open_(most_open),
       scratch_(kScratch) {
-  acceptor_.non_blocking(true);
-  accept();
+  listener_.go_on();
   sweep();
 }
 
@@ -363,21 +360,6 @@
     for (const auto& session : all) session->detach();
 }
 
-tcp::endpoint Clients::address() const { return acceptor_.local_endpoint(); }
-
-void Clients::accept() {
-  if (accepting_ || pausing_ || !acceptor_.is_open()) return;
-  // At the limit the next ones wait in the listener's queue until there is room.
-  if (open_ >= most_open_ && !make_room()) return try_again_soon();
-  if (accepting_) return;  // the connection that had to go has set the next accept going itself
-  accepting_ = true;
-  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    accepting_ = false;
-    accepted(error, std::move(socket));
-  });
-}
-
 void Clients::take(tcp::socket socket) {
   const auto session = std::make_shared<Session>(*this, std::move(socket));
   ++open_;
@@ -386,28 +368,6 @@
   session->read();
 }
 
-void Clients::accepted(const error_code& error, tcp::socket socket) {
-  if (!error) {
-    take(std::move(socket));
-    return accept();
-  }
-  if (error == asio::error::connection_aborted) return accept();
-  // Out of descriptors: the listener stays readable, and to try again at once would only spin.
-  log("accept: " + error.message());
-  make_room();
-  try_again_soon();
-}
-
-void Clients::try_again_soon() {
-  pausing_ = true;
-  pause_.expires_after(kPause);
-  pause_.async_wait([this](error_code cancelled) {
-    if (cancelled) return;
-    pausing_ = false;
-    accept();
-  });
-}
-
 // Connections that say nothing come by hundreds and must not push out clients that ask: what has its
 // answer goes first, then what never asked, oldest first. While some of those are too young to tell, the
 // next ones wait; only when there are none does a client between two requests have to go.
@@ -437,7 +397,7 @@
 
 void Clients::closed(Queue::iterator place, State state) {
   queue(state).erase(place);
-  if (--open_ + 1 == most_open_) accept();
+  if (--open_ + 1 == most_open_) listener_.go_on();
 }
 
 void Clients::drain() {
@@ -448,18 +408,7 @@
   }
 }
 
-void Clients::stop_accepting() {
-  // What the kernel has accepted counts as ours: the queue is emptied before the listener closes.
-  error_code error;
-  while (acceptor_.is_open() && open_ < most_open_) {
-    tcp::socket socket(io_);
-    acceptor_.accept(socket, error);
-    if (error) break;
-    take(std::move(socket));
-  }
-  acceptor_.close(error);
-  pause_.cancel();
-}
+void Clients::stop_accepting() { listener_.stop(); }
 
 void Clients::sweep() {
   const Time now = clock_.now();
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -14,11 +14,12 @@
 
 #include "engine/front.h"
 #include "net/clock.h"
+#include "net/listener.h"
 #include "settings.h"
 
 namespace streampick::node {
 
-class Clients final : public Front {
+class Clients final : public Front, private Listener::Owner {
  public:
   // Throws boost::system::system_error when the address can't be listened on.
   Clients(boost::asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
@@ -27,7 +28,7 @@
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
 
-  boost::asio::ip::tcp::endpoint address() const;
+  boost::asio::ip::tcp::endpoint address() const { return listener_.address(); }
   // From now on every answer ends its connection, and idle connections are closed.
   void drain() override;
   void stop_accepting() override;
@@ -43,24 +44,23 @@
 
   Queue& queue(State state) { return queues_[static_cast<std::size_t>(state)]; }
   const Queue& queue(State state) const { return queues_[static_cast<std::size_t>(state)]; }
-  void accept();
-  void accepted(const boost::system::error_code& error, boost::asio::ip::tcp::socket socket);
-  void take(boost::asio::ip::tcp::socket socket);
-  void try_again_soon();
+  bool has_place() override { return !is_full() || make_room(); }
+  bool is_full() const override { return open_ >= most_open_; }
+  void take(boost::asio::ip::tcp::socket socket) override;
+  void out_of_descriptors() override { make_room(); }
   bool make_room();
   void closed(Queue::iterator place, State state);
   void sweep();  // ends what has stood still for too long
 
-  boost::asio::io_context& io_;
   Clock& clock_;
   const Names& names_;
   Requests& requests_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_, sweep_;
+  Listener listener_;
+  boost::asio::steady_timer sweep_;
   std::size_t most_open_, open_ = 0;
   std::array<Queue, 6> queues_;
   std::vector<char> scratch_;  // what any of them reads goes here first: one that is idle holds no buffer
-  bool draining_ = false, accepting_ = false, pausing_ = false;
+  bool draining_ = false;
 };
 
 }  // namespace streampick::node
--- a/src/http1/transport.cpp
+++ b/src/http1/transport.cpp
@@ -161,10 +161,9 @@
         if (!framing_is_plain(parser_->get())) return spoilt("length in doubt");
         const std::size_t length = parser_->content_length().value_or(0);
         if (length > kLongestBody) {
-          // Many at once, or clients that don't take theirs, must not fill the memory.
-          if (*owner_->links_.large + length > owner_->links_.most_large)
-            return spoilt("no memory for its body");
-          lease_ = Lease(owner_->links_.large, length);
+          auto lease = owner_->links_.lease(length);
+          if (!lease) return spoilt("no memory for its body");
+          lease_ = std::move(*lease);
         }
       }
       if (!parser_->content_length() && parser_->get().body().size() > kLongestBody)
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -6,8 +6,10 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
+#include "engine/message.h"
 #include "streampick/router.h"
 
 namespace streampick::node {
@@ -18,6 +20,12 @@
   // Bytes of large bodies that are held at this moment, from the first one read to the last one written.
   std::shared_ptr<std::size_t> large = std::make_shared<std::size_t>(0);
   std::size_t most_large = 8 * 1024 * 1024;
+  // The memory for one; none: many at once, or clients that don't take theirs, would fill it.
+  std::optional<Lease> lease(std::size_t bytes) const {
+    if (*large + bytes > most_large) return std::nullopt;
+    return Lease(large, bytes);
+  }
+
   std::size_t connections = 0, most_connections = 0;
   Time dial_time_out = 0;
   std::uint64_t dials = 0;
--- a/src/resp/commands.cpp
+++ b/src/resp/commands.cpp
@@ -116,7 +116,7 @@
 
 // The options of SET: what is wrong with them, or empty.
 std::string check_set(const std::vector<std::string>& words, const TableSettings& settings, bool& expires) {
-  bool nx = false, xx = false, get = false;
+  bool nx = false, xx = false;
   expires = false;
   for (std::size_t i = 3; i < words.size(); ++i) {
     const std::string option = upper(words[i]);
@@ -124,15 +124,13 @@
       nx = true;
     } else if (option == "XX") {
       xx = true;
-    } else if (option == "GET") {
-      get = true;
     } else if (option == "KEEPTTL") {
       if (std::exchange(expires, true)) return "ERR syntax error";
     } else if (option == "EX" || option == "PX" || option == "EXAT" || option == "PXAT") {
       if (std::exchange(expires, true) || ++i >= words.size()) return "ERR syntax error";
       const auto time = to_count(words[i]);
       if (!time || *time == 0) return "ERR invalid expire time in 'set' command";
-    } else {
+    } else if (option != "GET") {
       return "ERR syntax error";
     }
   }
@@ -140,8 +138,8 @@
   // A copy at a cache would be served past the time at which its source drops the value.
   if (expires && settings.aside)
     return "ERR an expiry can't be kept here: caches hold copies that would outlive it";
-  if ((nx || xx || get) && settings.plain_only)
-    return "ERR NX, XX and GET need servers that speak RESP, which not all do here";
+  if (settings.plain_only && words.size() > 3)
+    return "ERR the options of SET need servers that speak RESP, which not all do here";
   return {};
 }
 
@@ -159,6 +157,13 @@
   return out;
 }
 
+std::string printable(std::string_view text) {
+  std::string out(text);
+  std::replace_if(
+      out.begin(), out.end(), [](char c) { return c < ' ' || c > '~'; }, '?');
+  return out;
+}
+
 std::span<const Command> commands() { return kCommands; }
 
 const Command* find_command(std::string_view name) {
@@ -189,10 +194,8 @@
 
   out.command = find_command(words.front());
   if (out.command == nullptr) {
-    std::string name = words.front().substr(0, 40);
-    std::replace_if(
-        name.begin(), name.end(), [](char c) { return c < ' ' || c > '~'; }, '?');
-    out.error = "ERR unknown command '" + name + "', or one that the router does not carry";
+    out.error = "ERR unknown command '" + printable(words.front().substr(0, 40)) +
+                "', or one that the router does not carry";
     return out;
   }
   const Command& row = *out.command;
@@ -284,19 +287,23 @@
 
 }  // namespace
 
-Value spell(const Command& command, node::Reply reply) {
+Value spell(const Command& command, node::Reply reply, bool has_key) {
   using Kind = node::Reply::Kind;
   if (reply.kind == Kind::served) return answer_value(command, std::move(reply.answer));
   // The source of all values has said that there is none: that is an answer, whatever else was tried.
   if (reply.absent && command.kind == K::read) return missing(command);
-  if (reply.kind == Kind::refused) {
-    std::string text = "TRYAGAIN refused, nothing ran";
+  const bool write = command.kind == K::write;
+  // A refusal promises that a repeat does no harm. The module refuses a keyed write that may have run, for
+  // its servers drop repeats of its key; but where the client told none, its repeat has another.
+  if (reply.kind == Kind::refused && (!write || !reply.may_have_run || has_key)) {
+    std::string text = "TRYAGAIN refused";
+    if (write) text += reply.may_have_run ? ", it may have run: repeat it with its KEY" : ", nothing ran";
     if (reply.retry_after > 0)
       text += "; come back in " + std::to_string((reply.retry_after + 999) / 1000) + " ms";
     return Value::error(std::move(text));
   }
   if (!reply.why.empty()) return Value::error(std::move(reply.why));
-  const char* ran = command.kind == K::read ? "" : reply.may_have_run ? "; it may have run" : "; nothing ran";
+  const char* ran = !write ? "" : reply.may_have_run ? "; it may have run" : "; nothing ran";
   return Value::error((reply.late ? "TIMEOUT no answer in time" : "UNAVAILABLE failed") + std::string(ran));
 }
 
--- a/src/resp/commands.h
+++ b/src/resp/commands.h
@@ -69,12 +69,15 @@
 
 // The reply to one part, and to a whole command once all of its parts have ended. `parts` holds a part's
 // answer each, in the command's order.
-Value spell(const Command& command, node::Reply reply);
+// `has_key`: the client told a KEY, so that its own repeat can be told from another write.
+Value spell(const Command& command, node::Reply reply, bool has_key = false);
 Value gather(const Command& command, std::vector<Value> parts);
 
 // COMMAND, COMMAND COUNT, COMMAND DOCS [name ...]: `words` begins with COMMAND.
 Value describe(std::span<const std::string> words);
 
 std::string upper(std::string_view text);
+// With '?' for what is not plain ASCII: for error texts and the log.
+std::string printable(std::string_view text);
 
 }  // namespace streampick::resp
--- a/src/resp/conversation.cpp
+++ b/src/resp/conversation.cpp
@@ -95,6 +95,7 @@
   slot.command = planned.command;
   slot.version = version_;
   slot.left = count;
+  slot.has_key = !planned.told.idempotency_key.empty();
   slot.parts.resize(count);
   slot.answered.resize(count);
   open_parts_ += count;
@@ -149,10 +150,10 @@
 void Conversation::answered(std::uint64_t tag, node::Reply reply) {
   const std::uint64_t number = tag >> kPartBits;
   if (number < first_slot_ || number >= next_slot_) return;
-  const Command* command = slots_[number - first_slot_].command;
-  if (command == nullptr) return;
+  const Slot& slot = slots_[number - first_slot_];
+  if (slot.command == nullptr) return;
   node::Lease lease = std::move(reply.answer.lease);
-  set(tag, spell(*command, std::move(reply)), std::move(lease));
+  set(tag, spell(*slot.command, std::move(reply), slot.has_key), std::move(lease));
 }
 
 void Conversation::id_is_open(std::uint64_t tag) {
--- a/src/resp/conversation.h
+++ b/src/resp/conversation.h
@@ -79,6 +79,7 @@
   struct Slot {
     const Command* command = nullptr;  // none: the reply is `value` as it stands
     Version version = Version::resp2;
+    bool has_key = false;  // the client told a KEY
     std::size_t left = 0;  // parts without an answer
     std::vector<Value> parts;
     std::vector<bool> answered;       // by part
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -29,7 +29,7 @@
 constexpr Time kLinger = kSecond, kYoung = kSecond;
 constexpr Time kAnyPatience = 86'400 * kSecond;  // cut to the class's
 constexpr int kRounds = 16;
-constexpr std::chrono::milliseconds kPause{20}, kSweepEvery{250};
+constexpr std::chrono::milliseconds kSweepEvery{250};
 
 std::string hex(std::uint64_t value) {
   std::array<char, 16> digits{};
@@ -142,6 +142,7 @@
     return socket_.available(ignored) > 0;
   }
   bool lingering() const { return lingering_; }
+  bool starved() const { return starved_; }
   Time since() const { return since_; }
 
   // What has come by now was taken, also what the kernel still holds: it is answered, and then the connection
@@ -315,7 +316,7 @@
   void settle() {
     if (owner_ == nullptr) return;
     if (lingering_) return wait();
-    if (!owner_->has_room() && !std::exchange(starved_, true)) owner_->starved_.push_back(weak_from_this());
+    if (!owner_->has_room()) starved_ = owner_->starved_ = true;
     const bool answered = conversation_.at_rest() && !writing_ && pending_.empty();
     if (answered && (conversation_.over() || (stopping_ && to_read_ == 0) ||
                      (owner_->draining_ && quiet() && !unread()))) {
@@ -382,13 +383,11 @@
       names_(names),
       requests_(requests),
       settings_(settings),
-      acceptor_(io, settings.listen, /*reuse_addr=*/true),
-      pause_(io),
+      listener_(io, settings.listen, *this),
       sweep_(io),
       scratch_(kScratch),
       last_id_(settings.seed) {
-  acceptor_.non_blocking(true);
-  accept();
+  listener_.go_on();
   sweep();
 }
 
@@ -404,31 +403,8 @@
   return z ^ (z >> 31U);
 }
 
-void RespFront::accept() {
-  if (!acceptor_.is_open()) return;
-  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted) return;
-    accepted(error, std::move(socket));
-  });
-}
-
-void RespFront::accepted(const error_code& error, tcp::socket socket) {
-  if (!error) {
-    take(std::move(socket));
-    return accept();
-  }
-  if (error == asio::error::connection_aborted) return accept();
-  // Out of descriptors: the listener stays readable, and to try again at once would only spin.
-  log("resp accept: " + error.message());
-  make_room();
-  pause_.expires_after(kPause);
-  pause_.async_wait([this](error_code cancelled) {
-    if (!cancelled) accept();
-  });
-}
-
 void RespFront::take(tcp::socket socket) {
-  if (sessions_.size() >= settings_.most_clients && !make_room()) {
+  if (is_full() && !make_room()) {
     ++counts_.turned_away;
     error_code ignored;
     socket.non_blocking(true, ignored);
@@ -460,9 +436,9 @@
 
 void RespFront::in_work(std::size_t before, std::size_t now) {
   in_work_ = in_work_ + now - before;
-  if (now >= before || !has_room() || starved_.empty()) return;
-  for (const auto& waits : std::exchange(starved_, {}))
-    if (const auto next = waits.lock()) asio::post(io_, [next] { next->there_is_room(); });
+  if (now >= before || !has_room() || !std::exchange(starved_, false)) return;
+  for (const auto& session : sessions_)
+    if (session->starved()) asio::post(io_, [session] { session->there_is_room(); });
 }
 
 void RespFront::drain() {
@@ -472,16 +448,7 @@
 }
 
 void RespFront::stop_accepting() {
-  // What the kernel has accepted counts as ours: the queue is emptied before the listener closes.
-  error_code error;
-  while (acceptor_.is_open() && sessions_.size() < settings_.most_clients) {
-    tcp::socket socket(io_);
-    acceptor_.accept(socket, error);
-    if (error) break;
-    take(std::move(socket));
-  }
-  acceptor_.close(error);
-  pause_.cancel();
+  listener_.stop();
   const Sessions all = sessions_;
   for (const auto& session : all) session->stop_reading();
 }
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -5,7 +5,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
-#include <deque>
 #include <list>
 #include <memory>
 #include <string>
@@ -13,6 +12,7 @@
 
 #include "engine/front.h"
 #include "engine/time.h"
+#include "net/listener.h"
 #include "resp/conversation.h"
 #include "settings.h"
 
@@ -29,7 +29,7 @@
   std::uint64_t seed = 0;           // of the ids that the front chooses
 };
 
-class RespFront final : public node::Front {
+class RespFront final : public node::Front, private node::Listener::Owner {
  public:
   struct Counts {
     std::uint64_t accepted = 0, turned_away = 0, commands = 0, requests = 0, bad = 0;
@@ -42,7 +42,7 @@
   RespFront(const RespFront&) = delete;
   RespFront& operator=(const RespFront&) = delete;
 
-  boost::asio::ip::tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  boost::asio::ip::tcp::endpoint address() const { return listener_.address(); }
   void drain() override;
   void stop_accepting() override;
   std::size_t unanswered() const override;
@@ -53,9 +53,10 @@
   class Session;
   using Sessions = std::list<std::shared_ptr<Session>>;
 
-  void accept();
-  void accepted(const boost::system::error_code& error, boost::asio::ip::tcp::socket socket);
-  void take(boost::asio::ip::tcp::socket socket);
+  bool has_place() override { return true; }  // whoever finds none is told so
+  bool is_full() const override { return sessions_.size() >= settings_.most_clients; }
+  void take(boost::asio::ip::tcp::socket socket) override;
+  void out_of_descriptors() override { make_room(); }
   bool make_room();
   void sweep();
   bool has_room() const { return in_work_ < settings_.most_requests; }
@@ -67,10 +68,10 @@
   const Names& names_;
   node::Requests& requests_;
   FrontSettings settings_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer pause_, sweep_;
+  node::Listener listener_;
+  boost::asio::steady_timer sweep_;
   Sessions sessions_;
-  std::deque<std::weak_ptr<Session>> starved_;  // wait for room among the requests
+  bool starved_ = false;  // some session waits for room among the requests
   std::vector<char> scratch_;
   std::size_t in_work_ = 0;
   std::uint64_t last_id_ = 0;
--- a/src/resp/pipeline.cpp
+++ b/src/resp/pipeline.cpp
@@ -4,8 +4,6 @@
 #include <array>
 #include <utility>
 
-#include "resp/commands.h"
-
 namespace streampick::resp {
 namespace {
 
@@ -19,11 +17,15 @@
 
 std::string_view first_word(std::string_view text) { return text.substr(0, text.find(' ')); }
 
-std::string hex_free(std::string_view text) {
-  std::string out(text.substr(0, 200));
-  std::replace_if(
-      out.begin(), out.end(), [](char c) { return c < ' ' || c > '~'; }, '?');
-  return out;
+// As a client may be told them, or the log.
+std::string words_of(std::string_view text) { return printable(text.substr(0, 200)); }
+
+// The table's row; the two that nearly all are need no looking up.
+const Command* command_of(const node::Message& message) {
+  static const Command* const get = find_command("GET");
+  static const Command* const set = find_command("SET");
+  if (message.words.empty()) return message.operation == node::Operation::write ? set : get;
+  return find_command(message.words.front());
 }
 
 }  // namespace
@@ -44,61 +46,49 @@
   return Outcome::error;
 }
 
-Ended read_reply(node::AttemptId attempt, const node::Message& message, Value reply, bool null_is_miss) {
+Ended read_reply(node::AttemptId attempt, const Command* command, bool options, Value reply,
+                 bool null_is_miss) {
   using Form = node::Answer::Form;
+  using Wants = Command::Reply;
+  const auto spoilt = [attempt] { return Ended{attempt, Outcome::spoilt, {}}; };
+  if (reply.is_error()) {
+    Ended out{attempt, outcome_of_error(reply.text), {}};
+    if (out.outcome == Outcome::rejected) out.answer.body = words_of(reply.text);
+    return out;
+  }
+  if (command == nullptr) return spoilt();
   Ended out{attempt, Outcome::served, {}};
-  const bool write = node::is_write(message.operation);
-  const bool may_miss = null_is_miss && !write;
-  const std::string_view name = message.words.empty() ? std::string_view(write ? "SET" : "GET")
-                                                      : std::string_view(message.words.front());
-  const Command* command = find_command(name);
   switch (reply.type) {
-    case Type::error:
-    case Type::blob_error:
-      out.outcome = outcome_of_error(reply.text);
-      if (out.outcome == Outcome::rejected) out.answer.body = hex_free(reply.text);
-      return out;
-    case Type::null:
-      out.answer.form = Form::nothing;
-      if (may_miss) out.outcome = Outcome::miss;
-      break;
+    case Type::null: out.answer.form = Form::nothing; break;
     case Type::number:
       out.answer.form = Form::count;
       out.answer.count = reply.number;
-      if (may_miss && command != nullptr) {
-        const bool misses = command->miss == Command::Miss::minus_two ? reply.number == -2
-                            : command->miss == Command::Miss::zero    ? reply.number == 0
-                                                                      : false;
-        if (misses) out.outcome = Outcome::miss;
-      }
       break;
     case Type::simple: out.answer.form = Form::done; break;
     case Type::blob:
     case Type::verbatim:
-      out.answer.form = command != nullptr && command->name == "SET" ? Form::old_value : Form::value;
+      out.answer.form = command->reply == Wants::done ? Form::old_value : Form::value;
       out.answer.body = std::move(reply.text);
       break;
-    default: break;
+    default: return spoilt();
   }
   // A reply that the command can't have is an answer to something else.
-  using Wants = Command::Reply;
-  bool fits = true;
-  if (command != nullptr) {
-    switch (command->reply) {
-      case Wants::value: fits = out.answer.form == Form::value || out.answer.form == Form::nothing; break;
-      case Wants::length:
-      case Wants::present:
-      case Wants::count: fits = out.answer.form == Form::count; break;
-      case Wants::done:
-        fits = out.answer.form == Form::done ||
-               (!message.words.empty() &&
-                (out.answer.form == Form::nothing || out.answer.form == Form::old_value));
-        break;
-    }
+  const Form form = out.answer.form;
+  bool fits = false;
+  switch (command->reply) {
+    case Wants::value: fits = form == Form::value || form == Form::nothing; break;
+    case Wants::done: fits = form == Form::done || (options && form != Form::count); break;
+    case Wants::length:
+    case Wants::present:
+    case Wants::count: fits = form == Form::count; break;
+  }
+  if (!fits) return spoilt();
+  if (null_is_miss && command->kind == Command::Kind::read) {
+    const bool lacks = command->miss == Command::Miss::null        ? form == Form::nothing
+                       : command->miss == Command::Miss::minus_two ? reply.number == -2
+                                                                   : reply.number == 0;
+    if (lacks) out.outcome = Outcome::miss;
   }
-  const bool known = reply.type == Type::null || reply.type == Type::number || reply.type == Type::simple ||
-                     reply.type == Type::blob || reply.type == Type::verbatim;
-  if (!fits || !known) return {attempt, Outcome::spoilt, {}};
   return out;
 }
 
@@ -107,18 +97,20 @@
   greet(true);
 }
 
-Pipeline::Entry& Pipeline::add(Role role) {
+Pipeline::Entry& Pipeline::offer(Role role, const std::vector<std::string_view>& words) {
   Entry& entry = entries_.emplace_back();
   entry.role = role;
   entry.begin = offered_;
+  const std::size_t before = out_.size();
+  encode_command(words, out_);
+  offered_ += out_.size() - before;
+  entry.end = offered_;
   return entry;
 }
 
 void Pipeline::greet(bool three) {
-  std::vector<std::string_view> words;
-  Entry& entry = add(three ? Role::hello : Role::auth);
-  const std::size_t before = out_.size();
   const std::string_view user = rules_->user.empty() ? std::string_view("default") : rules_->user;
+  std::vector<std::string_view> words;
   if (three) {
     words = {"HELLO", "3"};
     if (!rules_->password.empty()) words.insert(words.end(), {"AUTH", user, rules_->password});
@@ -127,55 +119,41 @@
     if (!rules_->user.empty()) words.push_back(user);
     words.push_back(rules_->password);
   }
-  encode_command(words, out_);
-  offered_ += out_.size() - before;
-  entry.end = offered_;
+  offer(three ? Role::hello : Role::auth, words);
 }
 
-void Pipeline::send(node::AttemptId attempt, std::shared_ptr<const node::Message> message, Time remaining) {
-  Entry& entry = add(Role::attempt);
-  const std::size_t before = out_.size();
+void Pipeline::send(node::AttemptId attempt, const node::Message& message, Time remaining) {
   std::vector<std::string_view> words;
   const std::string ms = std::to_string(std::max<Time>(remaining / 1000, 1));
   if (rules_->send_ids) {
-    words = {"ROUTE", "ID", message->txn, "DEADLINE", ms};
-    if (!message->idempotency_key.empty()) words.insert(words.end(), {"KEY", message->idempotency_key});
+    words = {"ROUTE", "ID", message.txn, "DEADLINE", ms};
+    if (!message.idempotency_key.empty()) words.insert(words.end(), {"KEY", message.idempotency_key});
   }
-  if (!message->words.empty()) {
-    words.insert(words.end(), message->words.begin(), message->words.end());
-  } else if (message->operation == node::Operation::write) {
-    words.insert(words.end(), {"SET", message->key, message->body});
+  if (!message.words.empty()) {
+    words.insert(words.end(), message.words.begin(), message.words.end());
+  } else if (message.operation == node::Operation::write) {
+    words.insert(words.end(), {"SET", message.key, message.body});
   } else {
-    words.insert(words.end(), {"GET", message->key});
+    words.insert(words.end(), {"GET", message.key});
   }
-  encode_command(words, out_);
-  offered_ += out_.size() - before;
+  Entry& entry = offer(Role::attempt, words);
   entry.attempt = attempt;
-  entry.end = offered_;
-  if (node::is_write(message->operation)) ++writes_;
-  entry.message = std::move(message);
+  entry.command = command_of(message);
+  entry.write = node::is_write(message.operation);
+  entry.options = !message.words.empty();
+  if (entry.write) ++writes_;
   ++waited_for_;
 }
 
 void Pipeline::store(const std::string& key, const std::string& value) {
-  Entry& entry = add(Role::store);
-  const std::size_t before = out_.size();
   std::vector<std::string_view> words = {"SET", key, value};
   const std::string life = std::to_string(rules_->store_ms);
   if (rules_->store_ms > 0) words.insert(words.end(), {"PX", life});
   words.push_back("NX");  // what the cache has got since is newer
-  encode_command(words, out_);
-  offered_ += out_.size() - before;
-  entry.end = offered_;
+  offer(Role::store, words);
 }
 
-void Pipeline::remove(const std::string& key) {
-  Entry& entry = add(Role::store);
-  const std::size_t before = out_.size();
-  encode_command({"DEL", key}, out_);
-  offered_ += out_.size() - before;
-  entry.end = offered_;
-}
+void Pipeline::remove(const std::string& key) { offer(Role::store, {"DEL", key}); }
 
 void Pipeline::written(std::size_t bytes) {
   out_at_ += bytes;
@@ -194,7 +172,7 @@
 
 void Pipeline::leave(const Entry& entry) {
   if (entry.role != Role::attempt) return;
-  if (node::is_write(entry.message->operation)) --writes_;
+  if (entry.write) --writes_;
   if (!entry.forgotten) --waited_for_;
 }
 
@@ -269,11 +247,11 @@
   // A reply that nothing asked for, or that comes before its command is out, shows that the order is lost:
   // every one behind it could be another's.
   if (entries_.empty()) {
-    if (reply.is_error() && state_ == State::ready) return break_off("told: " + hex_free(reply.text));
+    if (reply.is_error() && state_ == State::ready) return break_off("told: " + words_of(reply.text));
     return break_off("a reply without a request");
   }
   if (entries_.front().end > written_) {
-    if (!greeted() && reply.is_error()) return break_off("told: " + hex_free(reply.text));
+    if (!greeted() && reply.is_error()) return break_off("told: " + words_of(reply.text));
     return break_off("a reply before its request");
   }
   const Entry entry = std::move(entries_.front());
@@ -286,7 +264,7 @@
     ++passed_over_;
     return;
   }
-  ended_.push_back(read_reply(entry.attempt, *entry.message, std::move(reply), null_is_miss_));
+  ended_.push_back(read_reply(entry.attempt, entry.command, entry.options, std::move(reply), null_is_miss_));
 }
 
 void Pipeline::greeted_with(Role role, Value reply) {
@@ -306,7 +284,7 @@
     }
     return;
   }
-  break_off("greeting: " + hex_free(reply.text));
+  break_off("greeting: " + words_of(reply.text));
 }
 
 void Pipeline::break_off(std::string why) {
--- a/src/resp/pipeline.h
+++ b/src/resp/pipeline.h
@@ -5,13 +5,13 @@
 
 #include <cstdint>
 #include <deque>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
 #include "engine/message.h"
+#include "resp/commands.h"
 #include "resp/decode.h"
 #include "resp/encode.h"
 
@@ -30,8 +30,10 @@
   node::Answer answer = {};
 };
 
-// What a server's reply means. `null_is_miss`: the server holds copies, so that what it lacks may exist.
-Ended read_reply(node::AttemptId attempt, const node::Message& message, Value reply, bool null_is_miss);
+// What a server's reply to a command means. `options`: the command went out with words of its own, as SET
+// does with NX or GET. `null_is_miss`: the server holds copies, so that what it lacks may exist.
+Ended read_reply(node::AttemptId attempt, const Command* command, bool options, Value reply,
+                 bool null_is_miss);
 // How an error that a server replied is to be taken: by its first word. The table is in docs/resp.md.
 Outcome outcome_of_error(std::string_view text);
 
@@ -42,7 +44,7 @@
   Pipeline(const ServerRules& rules, bool null_is_miss);
 
   // Takes a command. Its bytes are in output() from here on. `remaining`: microseconds that the router waits.
-  void send(node::AttemptId attempt, std::shared_ptr<const node::Message> message, Time remaining);
+  void send(node::AttemptId attempt, const node::Message& message, Time remaining);
   // Stores a value: nobody waits for its reply.
   void store(const std::string& key, const std::string& value);
   // Drops a copy, likewise.
@@ -89,12 +91,13 @@
   struct Entry {
     Role role = Role::attempt;
     node::AttemptId attempt;
-    std::shared_ptr<const node::Message> message;
+    const Command* command = nullptr;  // of an attempt; none: the router does not know it
+    bool write = false, options = false;
     std::uint64_t begin = 0, end = 0;  // its place in all that was ever to be written
     bool forgotten = false;
   };
 
-  Entry& add(Role role);
+  Entry& offer(Role role, const std::vector<std::string_view>& words);
   void greet(bool three);
   void take(Value reply);
   void greeted_with(Role role, Value reply);
--- a/src/resp/transport.cpp
+++ b/src/resp/transport.cpp
@@ -7,7 +7,6 @@
 
 #include "net/log.h"
 #include "net/tcp.h"
-#include "resp/commands.h"
 
 namespace streampick::resp {
 
@@ -188,7 +187,14 @@
   address_ = *endpoint;
   // They lead to where the server no longer is: what is under way there may still be answered.
   close_idle(kNever);
-  for (const Link& link : connections_) link->pipe.close_when_answered();
+  const std::vector<Link> all = connections_;
+  for (const Link& link : all) {
+    if (link->dialling())
+      drop(link);
+    else
+      link->pipe.close_when_answered();
+  }
+  dispatch();  // what waited for one of these dials the new address
 }
 
 void RespTransport::send(AttemptId attempt, std::shared_ptr<const node::Message> message, Time expires) {
@@ -238,9 +244,9 @@
       drop(link);
       continue;
     }
-    Job job = std::move(waiting_.front());
+    const Job job = std::move(waiting_.front());
     waiting_.pop_front();
-    start(link, std::move(job));
+    start(link, job);
   }
   std::size_t dialling = this->dialling();
   while (waiting_.size() > dialling && connections_.size() < settings_.connections) {
@@ -271,11 +277,11 @@
   return true;
 }
 
-void RespTransport::start(const Link& link, Job job) {
+void RespTransport::start(const Link& link, const Job& job) {
   if (link->pipe.in_flight() > 0) ++counts_.shared;
   const Time now = time_.now();
   link->last_used = now;
-  link->pipe.send(job.attempt, std::move(job.message), job.expires - now);
+  link->pipe.send(job.attempt, *job.message, job.expires - now);
   link->write();
 }
 
@@ -311,15 +317,11 @@
   store_some();
   node::Outcomes& outcomes = outcomes_;  // the last of these may be the last that is heard of this server
   for (Ended& end : ended) {
-    if (end.answer.body.size() > kLargeBody) {
-      // Many at once, or clients that don't take theirs, must not fill the memory.
-      if (*links_.large + end.answer.body.size() > links_.most_large) {
-        end.outcome = Outcome::spoilt;
-        end.answer = {};
-      } else {
-        end.answer.lease = node::Lease(links_.large, end.answer.body.size());
-      }
-    }
+    if (end.answer.body.size() <= kLargeBody) continue;
+    if (auto lease = links_.lease(end.answer.body.size()))
+      end.answer.lease = std::move(*lease);
+    else
+      end = {end.attempt, Outcome::spoilt, {}};
   }
   for (Ended& end : ended) outcomes.attempt_ended(end.attempt, end.outcome, std::move(end.answer));
 }
--- a/tests/discovery_test.cpp
+++ b/tests/discovery_test.cpp
@@ -6,21 +6,6 @@
 
 class Watched : public Loopback {
  protected:
-  void accept() {
-    tcp::socket socket(io);
-    bool came = false;
-    discovery.async_accept(socket, [&](error_code error) { came = !error; });
-    ASSERT_TRUE(wait_for([&] { return came; }));
-    agent = std::make_shared<Peer>(std::move(socket));
-    agent->read([](Peer&) {});
-    ASSERT_TRUE(wait_for([&] { return agent->got.find("\r\n\r\n") != std::string::npos; }));
-  }
-  void begin() { agent->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); }
-  void chunk(const std::string& text) {
-    std::array<char, 16> size{};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
-    agent->write(size.data() + text + "\r\n");
-  }
   // The server that a new read goes to.
   bool read_goes_to(FakeServer& server) {
     const std::size_t before = server.requests.size();
@@ -28,17 +13,16 @@
     one->ask(a_read());
     return wait_for([&] { return !one->answers.empty(); }) && server.requests.size() == before + 1;
   }
-  std::shared_ptr<Peer> agent;
 };
 
 TEST_F(Watched, ChangesAndWholeListsAreTakenThoughTheirLinesAreSplit) {
   cache.answer = origin.answer = [](const std::string&) { return response(200, "x"); };
   FakeServer other(io, [](const std::string&) { return response(200, "y"); });
   start();
-  accept();
+  accept_watch();
   EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=1 ", 0), 0U);
   EXPECT_TRUE(read_goes_to(cache));
-  begin();
+  begin_watch();
   const std::string drains =
       list_json(2, false, {{"s-cache", cache.address(), "box", "terminating"}, {"s-new", other.address()}})
           .dump() +
@@ -59,38 +43,38 @@
 TEST_F(Watched, AWatchThatEndsOrSpeaksNonsenseIsSetUpAgainAfterTheLastRevision) {
   cache.answer = [](const std::string&) { return response(200, "x"); };
   start();
-  accept();
-  begin();
+  accept_watch();
+  begin_watch();
   chunk(list_json(7, false, {}).dump() + "\n");
   quiet(30);
   agent->close();
-  accept();
+  accept_watch();
   EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=7 ", 0), 0U);
   EXPECT_TRUE(read_goes_to(cache));
-  begin();
+  begin_watch();
   chunk("{\"revision\": 8, \"complete\": true, \"members\": [{\"id\": 5}]}\n");
-  accept();
+  accept_watch();
   EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=7 ", 0), 0U);
   EXPECT_TRUE(read_goes_to(cache));
   agent->write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
-  accept();
+  accept_watch();
   EXPECT_TRUE(read_goes_to(cache));
 }
 
 TEST_F(Watched, ASilentWatchIsGivenUpAndTheOldListStaysInUse) {
   cache.answer = [](const std::string&) { return response(200, "x"); };
   start();
-  accept();
-  begin();
-  accept();  // without a line for longer than the empty ones are apart
+  accept_watch();
+  begin_watch();
+  accept_watch();  // without a line for longer than the empty ones are apart
   EXPECT_TRUE(read_goes_to(cache));
 }
 
 TEST_F(Watched, AServerThatDrainsWhileAnAttemptIsHeldForItIsSentNothing) {
   cache.answer = origin.answer = [](const std::string&) { return response(200, "x"); };
   start();
-  accept();
-  begin();
+  accept_watch();
+  begin_watch();
   chunk(list_json(2, false, {{"s-origin", origin.address(), "origin", "terminating"}}).dump() + "\n");
   quiet(30);
   const auto one = client();
@@ -105,8 +89,8 @@
   cache.answer = origin.answer = [](const std::string&) { return response(200, "x"); };
   FakeServer other(io, [](const std::string&) { return response(200, "y"); });
   start();
-  accept();
-  begin();
+  accept_watch();
+  begin_watch();
   chunk(list_json(5, false, {{"s-cache", cache.address(), "box", "terminated"}, {"s-new", other.address()}})
             .dump() +
         "\n" +
@@ -116,7 +100,7 @@
   quiet(30);
   EXPECT_TRUE(read_goes_to(other));
   agent->close();
-  accept();
+  accept_watch();
   EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=5 ", 0), 0U);
 }
 
@@ -124,8 +108,8 @@
   cache.answer = [](const std::string&) { return response(200, "x"); };
   FakeServer other(io, [](const std::string&) { return response(200, "y"); });
   start();
-  accept();
-  begin();
+  accept_watch();
+  begin_watch();
   chunk(list_json(90, false, {}).dump() + "\n");
   quiet(30);
   const auto old = agent;
@@ -134,12 +118,12 @@
   anew.discovery = next.local_endpoint();
   host->reload(anew);
   std::swap(discovery, next);
-  accept();
+  accept_watch();
   // Its revisions are its own.
   EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=0 ", 0), 0U);
   ASSERT_TRUE(wait_for([&] { return old->ended; }));
   EXPECT_TRUE(read_goes_to(cache));
-  begin();
+  begin_watch();
   chunk(list_json(2, false, {{"s-cache", cache.address(), "box", "terminating"}, {"s-new", other.address()}})
             .dump() +
         "\n");
@@ -152,7 +136,7 @@
 
 TEST_F(Watched, AReloadToADiscoveryThatIsNotUpIsTriedAgain) {
   start();
-  accept();
+  accept_watch();
   tcp::acceptor next(io, any_port());
   NodeSettings anew = settings;
   anew.discovery = next.local_endpoint();
@@ -160,7 +144,7 @@
   host->reload(anew);
   quiet();
   discovery = tcp::acceptor(io, anew.discovery);
-  accept();
+  accept_watch();
   EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=0 ", 0), 0U);
 }
 
@@ -169,8 +153,8 @@
 TEST_F(Watched, GoneServersAreForgottenAndTheirConnectionsClosed) {
   cache.answer = origin.answer = [](const std::string&) { return response(200, "x"); };
   start();
-  accept();
-  begin();
+  accept_watch();
+  begin_watch();
   EXPECT_TRUE(read_goes_to(cache));
   std::string before = "s-cache";
   for (int i = 0; i < 40; ++i) {
@@ -189,8 +173,8 @@
 
 TEST_F(Watched, AGoneServerIsForgottenOnlyOnceItsLastAttemptHasEnded) {
   start();
-  accept();
-  begin();
+  accept_watch();
+  begin_watch();
   const auto one = client();
   one->ask(a_read());
   ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -236,6 +236,22 @@
       io.run_one_for(std::chrono::milliseconds(10));
     }
   }
+  // The router's watch on the test's discovery.
+  void accept_watch() {
+    tcp::socket socket(io);
+    bool came = false;
+    discovery.async_accept(socket, [&](error_code error) { came = !error; });
+    ASSERT_TRUE(wait_for([&] { return came; }));
+    agent = std::make_shared<Peer>(std::move(socket));
+    agent->read([](Peer&) {});
+    ASSERT_TRUE(wait_for([&] { return agent->got.find("\r\n\r\n") != std::string::npos; }));
+  }
+  void begin_watch() { agent->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"); }
+  void chunk(const std::string& text) {
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    agent->write(size.data() + text + "\r\n");
+  }
   std::unique_ptr<FakeClient> client() { return std::make_unique<FakeClient>(io, host->address()); }
 
   asio::io_context io{1};
@@ -244,6 +260,7 @@
   tcp::acceptor discovery{io, any_port()};
   NodeSettings settings;
   std::unique_ptr<Host> host;
+  std::shared_ptr<Peer> agent;
 };
 
 }  // namespace streampick::node::test
--- a/tests/resp/accounting_test.cpp
+++ b/tests/resp/accounting_test.cpp
@@ -14,8 +14,8 @@
     std::string id, key;
     bool write = false;
   };
-  Asking(std::unique_ptr<RespClient> client, std::vector<One> all)
-      : client_(std::move(client)), all_(std::move(all)) {
+  Asking(std::unique_ptr<RespClient> client, std::vector<One> all, bool keyed)
+      : client_(std::move(client)), all_(std::move(all)), keyed_(keyed) {
     client_->on_reply = [this] { more(); };
     more();
   }
@@ -47,13 +47,16 @@
     std::string bytes;
     for (; sent_ < all_.size() && sent_ < checked_ + kDepth; ++sent_) {
       const One& one = all_[sent_];
-      bytes += one.write ? command({"ROUTE", "ID", one.id, "SET", one.key, "value of " + one.key})
-                         : command({"ROUTE", "ID", one.id, "GET", one.key});
+      bytes += !one.write ? command({"ROUTE", "ID", one.id, "GET", one.key})
+               : keyed_
+                   ? command({"ROUTE", "ID", one.id, "KEY", one.id, "SET", one.key, "value of " + one.key})
+                   : command({"ROUTE", "ID", one.id, "SET", one.key, "value of " + one.key});
     }
     if (!bytes.empty()) client_->raw(bytes);
   }
   std::unique_ptr<RespClient> client_;
   std::vector<One> all_;
+  bool keyed_;
   std::size_t sent_ = 0, checked_ = 0;
 };
 
@@ -84,6 +87,7 @@
     adjust = [](nlohmann::json& config) { config["settings"]["PolicyLimits"]["MaxAttempts"] = 4; };
     start_resp("write_class = \"" + write_class + "\"\n", "connections = 3\npipeline = 8\nsend_ids = true\n");
     accept_watch();
+    begin_watch();
     std::vector<std::unique_ptr<Asking>> all;
     std::uint64_t id = 0, seed = 99;
     for (std::size_t c = 0; c < kClients; ++c) {
@@ -94,7 +98,7 @@
         std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(++id));
         plan.push_back({text.data(), key((seed >> 40U) % kKeys), (seed >> 33U) % 10 == 0});
       }
-      all.push_back(std::make_unique<Asking>(resp_client(), std::move(plan)));
+      all.push_back(std::make_unique<Asking>(resp_client(), std::move(plan), write_class == "save"));
     }
     const auto progress = [&] {
       return host->counts().served + host->counts().refused + host->counts().failed;
--- a/tests/resp/commands_test.cpp
+++ b/tests/resp/commands_test.cpp
@@ -53,7 +53,8 @@
       {{"SET", "k", "v", "EX", "0"}, {}, "ERR invalid expire"},
       {{"SET", "k", "v", "EX", "1", "PX", "1"}, {}, "ERR syntax error"},
       {{"SET", "k", "v", "WHEN"}, {}, "ERR syntax error"},
-      {{"SET", "k", "v", "NX"}, plain(), "ERR NX, XX and GET need servers that speak RESP"},
+      {{"SET", "k", "v", "NX"}, plain(), "ERR the options of SET need servers that speak RESP"},
+      {{"SET", "k", "v", "EX", "5"}, plain(), "ERR the options of SET need servers that speak RESP"},
       {{"DEL", "k"}, plain(), "ERR DEL needs servers that speak RESP"},
       {{"GET"}, {}, "ERR wrong number of arguments for 'GET'"},
       {{"GET", "a", "b"}, {}, "ERR wrong number of arguments for 'GET'"},
@@ -121,6 +122,12 @@
   EXPECT_EQ(spell(set, {.late = true, .may_have_run = true}).text,
             "TIMEOUT no answer in time; it may have run");
   EXPECT_EQ(spell(set, {}).text, "UNAVAILABLE failed; nothing ran");
+  // A repeat does no harm only under the KEY that its servers know.
+  const node::Reply::Kind refused = node::Reply::Kind::refused;
+  EXPECT_EQ(spell(set, {.kind = refused, .may_have_run = true}, true).text,
+            "TRYAGAIN refused, it may have run: repeat it with its KEY");
+  EXPECT_EQ(spell(set, {.kind = refused, .may_have_run = true}).text, "UNAVAILABLE failed; it may have run");
+  EXPECT_EQ(spell(get, {.kind = refused, .may_have_run = true}).text, "TRYAGAIN refused");
   EXPECT_EQ(spell(get, {.may_have_run = true}).text, "UNAVAILABLE failed");
   EXPECT_EQ(spell(get, {.why = "WRONGTYPE not a string"}).text, "WRONGTYPE not a string");
 }
--- a/tests/resp/loopback_test.cpp
+++ b/tests/resp/loopback_test.cpp
@@ -1,4 +1,7 @@
 // RESP from end to end over loopback sockets: both sides, and the failures they are meant for.
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include "resp/resp_loopback.h"
 
 namespace streampick::node::test {
@@ -169,6 +172,25 @@
   EXPECT_EQ(closed.commands, 0U);
 }
 
+// The servers drop repeats of a KEY, but not of a write that the client can only send under a new one: what
+// may have run and has none must not be called a refusal.
+TEST_F(RespLoopback, AKeyedWriteThatMayHaveRunIsARefusalOnlyToWhoToldItsKey) {
+  add_caches(1);
+  store.script = [](const std::vector<std::string>&, std::size_t) { return Fault{Fault::Kind::close}; };
+  start_resp("write_class = \"save\"\n", "send_ids = true\n");
+  const auto one = resp_client();
+  one->ask({"SET", "a", "v"});
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 1; }));
+  one->ask({"ROUTE", "KEY", "mine", "SET", "b", "v"});
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 2; }));
+  EXPECT_EQ(one->reply(0), Value::error("UNAVAILABLE failed; it may have run"));
+  EXPECT_EQ(one->reply(1).text.rfind("TRYAGAIN refused, it may have run: repeat it with its KEY", 0), 0U)
+      << one->reply(1).text;
+  EXPECT_GE(store.commands, 4U);  // both were sent again under their keys
+  EXPECT_EQ(store.executions.size(), 2U);
+  for (const auto& [id, times] : store.executions) EXPECT_EQ(times, 1U);
+}
+
 // ---- The failures
 
 TEST_F(RespLoopback, RepliesKeepTheirOrderThoughTheFirstStalls) {
@@ -288,6 +310,7 @@
   caches[1]->script = caches[0]->script;
   start_resp("write_class = \"pay\"\n", "connections = 1\npipeline = 16\nstore_queue = 0\n");
   accept_watch();
+  begin_watch();
   const auto one = resp_client();
   std::string bytes;
   for (int i = 0; i < 40; ++i) bytes += command({"GET", "k" + std::to_string(i)});
@@ -365,6 +388,60 @@
   EXPECT_EQ(heard.ended[2].second, Outcome::served);
 }
 
+// A dial that was under way leads to where the server no longer is.
+TEST_F(RespLoopback, AnAddressThatChangesDuringTheGreetingIsHeeded) {
+  RespCache before(io, {.work = std::chrono::microseconds(0)});
+  add_caches(1);
+  caches[0]->values["k"] = "here";
+  before.values["k"] = "gone";
+  Heard heard;
+  Links links;
+  links.most_connections = 8;
+  resp::ServerSettings servers;
+  resp::ServerCounts counts;
+  resp::RespTransport transport(io, clock, links, heard, servers, counts, "c-0", false);
+  transport.set_address(before.address());
+  const auto message = std::make_shared<Message>();
+  message->key = "k";
+  transport.send({1, 0}, message, clock.now() + 8'000'000);
+  transport.set_address(caches[0]->address());
+  ASSERT_TRUE(wait_for([&] { return heard.ended.size() == 1; }));
+  EXPECT_EQ(heard.ended[0].second, Outcome::served);
+  EXPECT_EQ(before.commands, 0U);
+  EXPECT_EQ(caches[0]->commands, 1U);
+}
+
+TEST_F(RespLoopback, WithNoDescriptorLeftTheFrontWaitsAndGoesOn) {
+  add_caches(1);
+  caches[0]->values["k"] = "v";
+  start_resp();
+  const auto first = resp_client();
+  first->ask({"GET", "k"});
+  ASSERT_TRUE(wait_for([&] { return first->replies.size() == 1; }));
+  tcp::socket late(io);
+  late.connect(host->resp()->address());  // in the listener's queue: the loop has not run since
+  rlimit usual{};
+  getrlimit(RLIMIT_NOFILE, &usual);
+  const int next = dup(0);
+  close(next);
+  rlimit none = usual;
+  none.rlim_cur = static_cast<rlim_t>(next);
+  setrlimit(RLIMIT_NOFILE, &none);
+  std::size_t handlers = 0;
+  const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+  while (std::chrono::steady_clock::now() < until) {
+    clock.next_batch();
+    io.restart();
+    handlers += io.run_one_for(std::chrono::milliseconds(10));
+  }
+  setrlimit(RLIMIT_NOFILE, &usual);
+  EXPECT_LT(handlers, 200U);  // it did not spin
+  const auto again = std::make_shared<Peer>(std::move(late));
+  again->read([](Peer&) {});
+  again->write(command({"GET", "k"}));
+  EXPECT_TRUE(wait_for([&] { return again->got == "$1\r\nv\r\n"; }));
+}
+
 TEST_F(RespLoopback, ADrainNoticeOnAConnectionIsHeeded) {
   add_caches(1);
   caches[0]->values = {{"k", "v"}};
--- a/tests/resp/pipeline_test.cpp
+++ b/tests/resp/pipeline_test.cpp
@@ -30,7 +30,7 @@
     message->key = key;
     message->body = "v";
     const std::size_t before = pipe.output().size();
-    pipe.send({id, 0}, std::move(message), 1'000'000);
+    pipe.send({id, 0}, *message, 1'000'000);
     return pipe.output().size() - before;
   }
   // The outcomes since the last call, as "id outcome body".
@@ -241,7 +241,7 @@
   message->body = "v";
   message->txn = "0011223344556677";
   message->idempotency_key = "i";
-  pipe.send({1, 0}, message, 1'500'000);
+  pipe.send({1, 0}, *message, 1'500'000);
   EXPECT_EQ(pipe.output(),
             "*10\r\n$5\r\nROUTE\r\n$2\r\nID\r\n$16\r\n0011223344556677\r\n$8\r\nDEADLINE\r\n$4\r\n1500\r\n"
             "$3\r\nKEY\r\n$1\r\ni\r\n$3\r\nSET\r\n$1\r\nk\r\n$1\r\nv\r\n");
@@ -253,7 +253,7 @@
   source.put("%0\r\n");
   auto message = std::make_shared<node::Message>();
   message->key = "k";
-  source.send({1, 0}, message, 1'000'000);
+  source.send({1, 0}, *message, 1'000'000);
   source.written(source.output().size());
   source.put("_\r\n");
   const auto all = source.take_ended();
--- a/tests/resp/resp_loopback.h
+++ b/tests/resp/resp_loopback.h
@@ -102,25 +102,13 @@
     for (const auto& [i, phase] : phases)
       members.push_back({"c-" + std::to_string(i), caches.at(i)->address(), "box", phase});
     const std::string line = list_json(revision, false, members).dump() + "\n";
-    std::array<char, 16> size{};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", line.size());
-    agent->write(size.data() + line + "\r\n");
-  }
-  void accept_watch() {
-    tcp::socket socket(io);
-    bool came = false;
-    discovery.async_accept(socket, [&](error_code error) { came = !error; });
-    ASSERT_TRUE(wait_for([&] { return came; }));
-    agent = std::make_shared<Peer>(std::move(socket));
-    agent->read([](Peer&) {});
-    ASSERT_TRUE(wait_for([&] { return agent->got.find("\r\n\r\n") != std::string::npos; }));
-    agent->write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    chunk(line);
   }
   // The empty line that a watch is owed every two seconds.
   void keep_watch() {
     if (clock.now() - kept_ < 500'000) return;
     kept_ = clock.now();
-    agent->write("1\r\n\n\r\n");
+    chunk("\n");
   }
   std::uint64_t commands() const {
     std::uint64_t all = store.commands;
@@ -134,7 +122,6 @@
   std::function<void(nlohmann::json&)> adjust = [](nlohmann::json&) {};
   std::vector<std::unique_ptr<RespCache>> caches;
   RespCache store{io};
-  std::shared_ptr<Peer> agent;
 
  private:
   Time kept_ = 0;
