The counts of RESP stand in the log's line again, as the operators' page has them

Seen on reading the change again: an edit had left them out of Host::summary, and no test looked. Each side now words its own counts; a test asks for them. Also: whether a kind of member speaks RESP, and how many descriptors either side has, are each said in one place (three and two before); a value that waits to be stored at a cache is not queued a second time.

--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr std::size_t kOtherDescriptors = 32;  // standard streams, listener, discovery, the event loop's
-constexpr std::size_t kLeastDescriptors = 64;
 constexpr std::chrono::seconds kSummaryEvery{10};
 
 }  // namespace
@@ -30,11 +28,6 @@
       summary_timer_(io) {
   const Config& config = settings.settings.config;
   if (config.aside) origin_kind_ = config.origin_kind;
-  if (resp_servers_)
-    for (const std::string& kind : names_.kinds)
-      speaks_resp_.push_back(resp_servers_->kinds.empty() ||
-                             std::find(resp_servers_->kinds.begin(), resp_servers_->kinds.end(), kind) !=
-                                 resp_servers_->kinds.end());
   NodeSettings own = settings;
   if (repeats_run_twice(options, settings)) {
     log("keyed classes count as unsafe: the servers that take writes are not told keys "
@@ -50,9 +43,7 @@
 #endif
 
 void Host::begin(const NodeSettings& settings, std::size_t other_clients) {
-  // Half for clients, half for servers: a request needs one of either, and now and then a copy.
-  const std::size_t sockets = std::max(settings.sockets, kLeastDescriptors);
-  const std::size_t each = (sockets - kOtherDescriptors) / 2;
+  const std::size_t each = descriptors_each(settings);
   links_.most_connections = each;
   links_.most_large = settings.memory_mb * (1024 * 1024 / 4);
   links_.dial_time_out = settings.settings.config.dial_time_out;
@@ -84,8 +75,7 @@
 
 std::unique_ptr<Transport> Host::make(const std::string& name, [[maybe_unused]] std::uint32_t kind) {
 #ifdef STREAMPICK_WITH_RESP
-  // A member of no known kind speaks what all do, if all do the same.
-  if (resp_servers_ && (kind < speaks_resp_.size() ? speaks_resp_[kind] : resp_servers_->kinds.empty())) {
+  if (resp_servers_ && resp_servers_->speak(names_.kinds, kind)) {
     const bool holds_copies = origin_kind_ != kNone && kind != origin_kind_;
     return std::make_unique<resp::RespTransport>(io_, clock_, links_, *engine_, resp_servers_->settings,
                                                  resp_counts_, name, holds_copies);
@@ -100,8 +90,14 @@
 }
 
 std::string Host::summary() const {
-  return engine_->summary(" dials=" + std::to_string(links_.dials) + " open=" +
-                          std::to_string(links_.connections) + " clients=" + std::to_string(http_->open()));
+  std::string out = engine_->summary(" dials=" + std::to_string(links_.dials) +
+                                     " open=" + std::to_string(links_.connections) +
+                                     " clients=" + std::to_string(http_->open()));
+#ifdef STREAMPICK_WITH_RESP
+  if (resp_) out += " resp: " + resp_->summary();
+  if (resp_servers_) out += " resp servers: " + resp_counts_.summary();
+#endif
+  return out;
 }
 
 void Host::every_ten_seconds() {
--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -8,7 +8,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 #include "daemon/node_settings.h"
 #include "engine/engine.h"
@@ -58,7 +57,6 @@
   std::unique_ptr<Clients> http_;
 #ifdef STREAMPICK_WITH_RESP
   std::optional<RespServers> resp_servers_;
-  std::vector<bool> speaks_resp_;  // by kind
   std::uint32_t origin_kind_ = kNone;
   resp::ServerCounts resp_counts_;
   std::unique_ptr<resp::RespFront> resp_;
--- a/src/daemon/node_settings.cpp
+++ b/src/daemon/node_settings.cpp
@@ -16,6 +16,8 @@
 
 using nlohmann::json;
 
+constexpr std::size_t kOtherDescriptors = 32;  // standard streams, listeners, discovery, the event loop's
+constexpr std::size_t kLeastDescriptors = 64;
 constexpr std::size_t kSocketsUnlessTold = 1024, kMemoryMbUnlessTold = 32;
 
 tcp::endpoint endpoint(const json& value) {
@@ -52,6 +54,10 @@
 
 }  // namespace
 
+std::size_t descriptors_each(const NodeSettings& settings) {
+  return (std::max(settings.sockets, kLeastDescriptors) - kOtherDescriptors) / 2;
+}
+
 NodeSettings parse_settings(const std::string& text) {
   const json config = json::parse(text);
   NodeSettings out;
--- a/src/daemon/node_settings.h
+++ b/src/daemon/node_settings.h
@@ -20,6 +20,10 @@
   MemberList known;
 };
 
+// How many descriptors clients have, and servers: half each, for a request needs one of either, and now and
+// then a copy.
+std::size_t descriptors_each(const NodeSettings& settings);
+
 // Both throw std::runtime_error with one line that says what is wrong.
 NodeSettings load_settings(const std::string& path);
 NodeSettings parse_settings(const std::string& json);
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -188,6 +188,11 @@
   return parse_options(text, path);
 }
 
+bool RespServers::speak(const std::vector<std::string>& names, std::uint32_t kind) const {
+  return kinds.empty() ||
+         (kind < names.size() && std::find(kinds.begin(), kinds.end(), names[kind]) != kinds.end());
+}
+
 void resolve(Options& options, const NodeSettings& node) {
   const Names& names = node.settings.names;
   const Config& config = node.settings.config;
@@ -221,13 +226,9 @@
   settings.write_key = config.classes[settings.write_class].effect == Effect::keyed;
   settings.rules.table.aside = config.aside;
   // A server of another kind may have to answer any command.
-  settings.rules.table.plain_only =
-      !options.resp_servers ||
-      (!options.resp_servers->kinds.empty() &&
-       std::any_of(names.kinds.begin(), names.kinds.end(), [&](const std::string& kind) {
-         const auto& speak = options.resp_servers->kinds;
-         return std::find(speak.begin(), speak.end(), kind) == speak.end();
-       }));
+  settings.rules.table.plain_only = !options.resp_servers;
+  for (std::uint32_t kind = 0; kind < names.kinds.size() && options.resp_servers; ++kind)
+    if (!options.resp_servers->speak(names.kinds, kind)) settings.rules.table.plain_only = true;
   settings.seed = node.settings.seed ^ 0x52455350U;
   // Where servers can't be told a write's key, they can't drop its repeats.
   if (settings.write_key && repeats_run_twice(options, node))
@@ -240,7 +241,7 @@
       wrong("resp.front.users", "'" + user.tenant + "' is not among the settings' Tenants");
   if (!settings.rules.tenant.empty() && index_of(names.tenants, settings.rules.tenant) == kNone)
     wrong("resp.front.tenant", "'" + settings.rules.tenant + "' is not among the settings' Tenants");
-  const std::size_t half = (std::max<std::size_t>(node.sockets, 64) - 32) / 2;
+  const std::size_t half = descriptors_each(node);
   if (settings.most_clients + 8 > half)
     wrong("resp.front.most_clients",
           "of " + std::to_string(half) + " descriptors for clients it must leave 8 to the HTTP side");
@@ -249,12 +250,8 @@
 bool repeats_run_twice(const Options& options, const NodeSettings& node) {
   if (!options.resp_servers || options.resp_servers->settings.rules.send_ids) return false;
   const Config& config = node.settings.config;
-  const auto& kinds = options.resp_servers->kinds;
   // Where values have a source, writes go there and nowhere else.
-  if (!config.aside || kinds.empty()) return true;
-  const auto& names = node.settings.names.kinds;
-  return config.origin_kind < names.size() &&
-         std::find(kinds.begin(), kinds.end(), names[config.origin_kind]) != kinds.end();
+  return !config.aside || options.resp_servers->speak(node.settings.names.kinds, config.origin_kind);
 }
 
 std::string describe(const Options& options) {
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -17,6 +17,10 @@
 struct RespServers {
   std::vector<std::string> kinds;  // of members; empty: every one
   resp::ServerSettings settings;
+
+  // Whether members of this kind (its place among `names`) speak RESP. One of no known kind speaks what all
+  // do, if all do the same.
+  bool speak(const std::vector<std::string>& names, std::uint32_t kind) const;
 };
 
 // [resp.front]: where RESP clients connect.
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -459,6 +459,12 @@
   }));
 }
 
+std::string RespFront::summary() const {
+  return "clients=" + std::to_string(open()) + " accepted=" + std::to_string(counts_.accepted) +
+         " commands=" + std::to_string(counts_.commands) + " requests=" + std::to_string(counts_.requests) +
+         " bad=" + std::to_string(counts_.bad) + " turned_away=" + std::to_string(counts_.turned_away);
+}
+
 void RespFront::sweep() {
   const Time now = time_.now();
   const Sessions all = sessions_;
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -48,6 +48,7 @@
   std::size_t unanswered() const override;
   std::size_t open() const override { return sessions_.size(); }
   const Counts& counts() const { return counts_; }
+  std::string summary() const;  // the counts, for the log
 
  private:
   class Session;
--- a/src/resp/transport.cpp
+++ b/src/resp/transport.cpp
@@ -23,6 +23,13 @@
 constexpr Time kOwedAtMost = kSecond;
 }  // namespace
 
+std::string ServerCounts::summary() const {
+  return "pushes=" + std::to_string(pushes) + " passed_over=" + std::to_string(passed_over) +
+         " shared=" + std::to_string(shared) + " stored=" + std::to_string(stored) +
+         " not_stored=" + std::to_string(not_stored) + " voided=" + std::to_string(voided) +
+         " not_voided=" + std::to_string(not_voided) + " broken=" + std::to_string(broken);
+}
+
 class RespTransport::Connection : public std::enable_shared_from_this<Connection> {
  public:
   explicit Connection(RespTransport& owner)
@@ -376,6 +383,13 @@
 }
 
 void RespTransport::keep(const std::string& key, const std::string& value) {
+  // A popular key is missed by many at once: once is enough.
+  const auto waits = std::find_if(to_store_.begin(), to_store_.end(),
+                                  [&](const Stored& other) { return !other.drop && other.key == key; });
+  if (waits != to_store_.end()) {
+    waits->value = value;
+    return;
+  }
   if (to_store_.size() >= settings_.store_queue || value.size() > settings_.longest_stored ||
       time_.now() >= nothing_from()) {
     ++counts_.not_stored;
--- a/src/resp/transport.h
+++ b/src/resp/transport.h
@@ -36,6 +36,8 @@
   std::uint64_t stored = 0, not_stored = 0;  // values that a server had missed
   std::uint64_t voided = 0, not_voided = 0;  // copies that a write may have made old
   std::uint64_t broken = 0;                  // connections whose order of replies was lost
+
+  std::string summary() const;  // for the log
 };
 
 class RespTransport final : public node::Transport {
--- a/tests/resp/loopback_test.cpp
+++ b/tests/resp/loopback_test.cpp
@@ -191,6 +191,22 @@
   for (const auto& [id, times] : store.executions) EXPECT_EQ(times, 1U);
 }
 
+// What the operators' page says of the log's line of counts.
+TEST_F(RespLoopback, TheLineOfCountsTellsOfBothSides) {
+  add_caches(1);
+  store.values["k"] = "v";
+  start_resp();
+  const auto one = resp_client();
+  one->raw(command({"GET", "k"}) + command({"MGET", "k", "k2"}) + command({"PING"}));
+  ASSERT_TRUE(wait_for([&] { return one->replies.size() == 3 && caches[0]->stores >= 1; }));
+  const std::string line = host->summary();
+  EXPECT_NE(line.find(" resp: clients=1 accepted=1 commands=3 requests=3 bad=0 turned_away=0"),
+            std::string::npos)
+      << line;
+  EXPECT_NE(line.find(" resp servers: pushes=0 passed_over=0 shared="), std::string::npos) << line;
+  EXPECT_NE(line.find(" voided=0 not_voided=0 broken=0"), std::string::npos) << line;
+}
+
 // ---- The failures
 
 TEST_F(RespLoopback, RepliesKeepTheirOrderThoughTheFirstStalls) {
