RESP inline commands: two forms of quotes, and bytes as \xHH

Found by trying: PING "a\x41" answered ax41, and single quotes were read like double ones. Within double quotes \n \r \t \a \b and \xHH stand for bytes, within single ones only \' does; a quote that is not closed, or that something other than a space follows, is a protocol error. Tested by InlineQuotesHaveTwoForms (a table of 8 forms and 6 mistakes).

--- a/src/resp/decode.cpp
+++ b/src/resp/decode.cpp
@@ -51,6 +51,35 @@
   return !text.empty() && text.find_first_not_of("0123456789") == std::string_view::npos;
 }
 
+int hex_digit(char c) {
+  if (c >= '0' && c <= '9') return c - '0';
+  if (c >= 'a' && c <= 'f') return c - 'a' + 10;
+  return c >= 'A' && c <= 'F' ? c - 'A' + 10 : -1;
+}
+
+// The byte that stands at `at` within quotes; moves past it.
+char inline_byte(std::string_view line, std::size_t& at, char quote) {
+  const char c = line[at++];
+  if (c != '\\' || at == line.size()) return c;
+  const char next = line[at];
+  if (quote == '\'' && next != '\'') return c;
+  ++at;
+  if (quote == '\'') return next;
+  switch (next) {
+    case 'n': return '\n';
+    case 'r': return '\r';
+    case 't': return '\t';
+    case 'a': return '\a';
+    case 'b': return '\b';
+    case 'x': break;
+    default: return next;
+  }
+  if (at + 1 >= line.size() || hex_digit(line[at]) < 0 || hex_digit(line[at + 1]) < 0) return next;
+  const int byte = hex_digit(line[at]) * 16 + hex_digit(line[at + 1]);
+  at += 2;
+  return static_cast<char>(byte);
+}
+
 Type aggregate_type(char mark) {
   switch (mark) {
     case '%':
@@ -204,34 +233,26 @@
   }
 }
 
-// Words between spaces, as a person types them; quotes hold a word with spaces together.
+// Words between spaces, as a person types them. A part of a word in quotes may hold spaces: within double
+// quotes \n \r \t \a \b and \xHH stand for bytes, within single ones only \' does. Where a quote closes, the
+// word ends.
 void Decoder::take_inline(std::string_view line) {
+  constexpr std::string_view spaces = " \t\r\v\f";
   std::vector<Value> words;
-  std::size_t at = 0;
-  while (at < line.size()) {
-    if (line[at] == ' ' || line[at] == '\t') {
-      ++at;
-      continue;
-    }
+  for (std::size_t at = line.find_first_not_of(spaces); at < line.size();
+       at = line.find_first_not_of(spaces, at)) {
     std::string word;
-    const char quote = line[at] == '"' || line[at] == '\'' ? line[at++] : '\0';
-    bool closed = quote == '\0';
-    for (; at < line.size(); ++at) {
-      const char c = line[at];
-      if (quote != '\0' ? c == quote : (c == ' ' || c == '\t')) {
-        closed = true;
-        at += quote != '\0' ? 1 : 0;
-        break;
-      }
-      if (quote == '"' && c == '\\' && at + 1 < line.size()) {
-        const char next = line[++at];
-        word += next == 'n' ? '\n' : next == 'r' ? '\r' : next == 't' ? '\t' : next;
-      } else {
-        word += c;
+    while (at < line.size() && spaces.find(line[at]) == std::string_view::npos) {
+      const char quote = line[at++];
+      if (quote != '"' && quote != '\'') {
+        word += quote;
+        continue;
       }
+      while (at < line.size() && line[at] != quote) word += inline_byte(line, at, quote);
+      if (at == line.size() || (++at < line.size() && spaces.find(line[at]) == std::string_view::npos))
+        return fail("unbalanced quotes");
+      break;
     }
-    if (!closed || (quote != '\0' && at < line.size() && line[at] != ' ' && line[at] != '\t'))
-      return fail("unbalanced quotes");
     if (!count_items(1) || !count_bytes(word.size())) return;
     words.push_back(Value::blob(std::move(word)));
   }
--- a/tests/resp/codec_test.cpp
+++ b/tests/resp/codec_test.cpp
@@ -148,6 +148,25 @@
   EXPECT_EQ(error_of("GET \"a\"b\r\n", limits), "unbalanced quotes");
 }
 
+TEST(RespCodec, InlineQuotesHaveTwoForms) {
+  Limits limits;
+  limits.inline_commands = limits.commands_only = true;
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {R"("a\x41\x7a")", "aAz"},      {R"("\x00")", std::string(1, '\0')},
+      {R"("\xg1\x4")", "xg1x4"},      {R"("\a\b\t\\\"")", "\a\b\t\\\""},
+      {R"('a\x41\n')", R"(a\x41\n)"}, {R"('it\'s "so"')", R"(it's "so")"},
+      {R"(k"a b")", "ka b"},          {R"("")", ""},
+  };
+  for (const auto& [text, bytes] : cases) {
+    const auto all = decode_all("ECHO " + text + "\r\n", 3, limits);
+    ASSERT_EQ(all.size(), 1U) << text;
+    ASSERT_EQ(all[0].items.size(), 2U) << text;
+    EXPECT_EQ(all[0].items[1].text, bytes) << text;
+  }
+  for (const char* wrong : {"'a", "'a\\'", "\"a\\\"", "'a'b", "\"a\"'b'", "x'a'b"})
+    EXPECT_EQ(error_of(std::string("ECHO ") + wrong + "\r\n", limits), "unbalanced quotes") << wrong;
+}
+
 TEST(RespCodec, WhatIsAnnouncedIsBelievedOnlyAsFarAsTheLimitsGo) {
   EXPECT_EQ(error_of("$536870912\r\n"), "a blob is too long");
   EXPECT_EQ(error_of("$?\r\n;99999999\r\n"), "a blob is too long");
