RESP: an HTTP request ends its connection unrun; an empty command has no reply

Found by trying: a POST to the RESP port had its lines run as inline commands, and a SET in its body was carried out: a page in a browser can send that to a loopback port. The first word POST or Host:, or another method with a third word HTTP/..., now ends the connection before anything behind it is looked at; it is logged and counted as unreadable. What was asked before on the connection keeps its answer. *0 and *-1 got an error that no client waits for, so that all its later replies were off by one: they are passed over in silence. Tested without sockets and by a POST over a loopback socket whose SET must not run.

--- a/src/resp/conversation.cpp
+++ b/src/resp/conversation.cpp
@@ -1,6 +1,7 @@
 #include "resp/conversation.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -23,6 +24,17 @@
 
 std::uint64_t hash_of(const std::string& key) { return std::hash<std::string>{}(key); }
 
+// Whether these words are the first line or a header line of an HTTP request. None of them is a command here,
+// and what follows them is a stranger's: a body's lines would be run as inline commands.
+bool speaks_http(const std::vector<Value>& words) {
+  const std::string first = upper(words.front().text);
+  if (first == "POST" || first == "HOST:") return true;
+  constexpr std::array<std::string_view, 8> methods = {"GET",   "PUT",   "HEAD",    "DELETE",
+                                                       "PATCH", "TRACE", "OPTIONS", "CONNECT"};
+  return words.size() == 3 && upper(words[2].text).rfind("HTTP/", 0) == 0 &&
+         std::find(methods.begin(), methods.end(), first) != methods.end();
+}
+
 Value text(std::string_view of) { return Value::blob(std::string(of)); }
 
 }  // namespace
@@ -45,7 +57,15 @@
       over_ = true;
       break;
     }
-    if (decoder_.done()) take(decoder_.take());
+    if (!decoder_.done()) continue;
+    Value command = decoder_.take();
+    // An empty command has no reply: the client that sends one waits for none.
+    if (command.items.empty()) continue;
+    if (speaks_http(command.items)) {
+      over_ = foreign_ = true;
+      break;
+    }
+    take(std::move(command));
   }
   return used;
 }
--- a/src/resp/conversation.h
+++ b/src/resp/conversation.h
@@ -67,7 +67,9 @@
   // Nothing more is read: the framing is lost, or the client said so. Once its output is written the
   // connection ends.
   bool over() const { return over_; }
-  bool lost() const { return decoder_.failed(); }  // the client could not be understood
+  bool lost() const { return decoder_.failed() || foreign_; }  // the client could not be understood
+  // It speaks HTTP: a page in a browser can be made to send such bytes to any port. Nothing of it is run.
+  bool foreign() const { return foreign_; }
   std::size_t open_requests() const { return open_parts_; }
   std::size_t unwritten() const { return unwritten_parts_; }
   bool at_rest() const { return !parked_ && slots_.empty() && output_.empty() && unwritten_parts_ == 0; }
@@ -125,7 +127,7 @@
   std::vector<node::Lease> output_leases_, written_leases_;
   std::size_t open_parts_ = 0, unwritten_parts_ = 0;
   std::size_t output_parts_ = 0, writing_parts_ = 0;
-  bool over_ = false;
+  bool over_ = false, foreign_ = false;
 };
 
 }  // namespace streampick::resp
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -321,6 +321,8 @@
     if (answered && (conversation_.over() || (stopping_ && to_read_ == 0) ||
                      (owner_->draining_ && quiet() && !unread()))) {
       if (conversation_.lost()) ++owner_->counts_.bad;
+      if (conversation_.foreign())
+        log("RESP: a client spoke HTTP; its connection is ended, nothing of it ran");
       // A close with unread bytes would reset the connection and could take the answers with it.
       lingering_ = true;
       since_ = owner_->time_.now();
--- a/tests/resp/conversation_test.cpp
+++ b/tests/resp/conversation_test.cpp
@@ -27,6 +27,27 @@
   Conversation talk{rules, 9};
 };
 
+TEST_F(ConversationTest, AnHttpRequestEndsItAndNothingOfItIsRun) {
+  for (const char* bytes : {"POST / HTTP/1.1\r\nSET zz stolen\r\n", "Host: a\r\nSET zz stolen\r\n",
+                            "GET / HTTP/1.1\r\nSET zz stolen\r\n", "options * http/1.0\r\nSET zz stolen\r\n",
+                            "*1\r\n$4\r\npost\r\nSET zz stolen\r\n"}) {
+    Conversation http(rules, 1);
+    http.put("PING\r\n" + std::string(bytes));
+    EXPECT_TRUE(http.over() && http.foreign() && http.lost()) << bytes;
+    EXPECT_TRUE(http.take_asks().empty()) << bytes;
+    EXPECT_EQ(http.take_output(), "+PONG\r\n") << bytes;  // what was asked before has its answer
+  }
+  put("SET k HTTP/1.1\r\nGET post\r\n");
+  EXPECT_EQ(talk.take_asks().size(), 2U);
+  EXPECT_FALSE(talk.over());
+}
+
+TEST_F(ConversationTest, AnEmptyCommandHasNoReply) {
+  put("*0\r\n*-1\r\n\r\nPING\r\n*0\r\nECHO x\r\n");
+  EXPECT_EQ(out(), "+PONG\r\n$1\r\nx\r\n");
+  EXPECT_FALSE(talk.over());
+}
+
 TEST_F(ConversationTest, RepliesLeaveInTheOrderOfTheirCommands) {
   put("GET a\r\nGET b\r\nPING\r\nMGET c d\r\n");
   const auto asks = talk.take_asks();
--- a/tests/resp/loopback_test.cpp
+++ b/tests/resp/loopback_test.cpp
@@ -597,6 +597,21 @@
   }
 }
 
+TEST_F(RespLoopback, APostFromABrowserIsCutOffBeforeItsBodyRuns) {
+  add_caches(1);
+  start_resp();
+  const auto page = resp_client();
+  page->raw("POST / HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 15\r\n\r\nSET zz stolen\r\n");
+  ASSERT_TRUE(wait_for([&] { return page->peer->ended; }));
+  EXPECT_TRUE(page->replies.empty());
+  EXPECT_EQ(host->resp()->counts().bad, 1U);
+  const auto good = resp_client();
+  good->ask({"GET", "zz"});
+  ASSERT_TRUE(wait_for([&] { return good->replies.size() == 1; }));
+  EXPECT_TRUE(good->reply(0).is_null());
+  EXPECT_EQ(host->counts().asked, 1U);
+}
+
 TEST_F(RespLoopback, MoreClientsThanPlacesAreToldSoOrTakeAnIdleOnesPlace) {
   add_caches(1);
   caches[0]->values["k"] = "v";
