RESP: INFO has its sections, each by name, with true values

Found by trying: a widely used client asks INFO REPLICATION when it connects, wants role:master and gave up, for INFO was one fixed text. Sections server, clients, stats and replication now come by name or all together, from the front's own figures; an unknown name gives nothing, as the field's servers do.

--- a/src/resp/conversation.cpp
+++ b/src/resp/conversation.cpp
@@ -235,8 +235,7 @@
     return reply(words[1] == "0" ? Value::simple("OK") : Value::error("ERR DB index is out of range"));
   if (name == "CLIENT") return reply(client(words));
   if (name == "COMMAND") return reply(describe(words));
-  if (name == "INFO")
-    return reply(Value::blob("# Server\r\nserver_name:streampick\r\nredis_mode:standalone\r\nloading:0\r\n"));
+  if (name == "INFO") return reply(Value::blob(info(rules_.figures(), words)));
   // DEADLINE
   std::int64_t ms = 0;
   const char* end = words[1].data() + words[1].size();
--- a/src/resp/conversation.h
+++ b/src/resp/conversation.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -16,6 +17,7 @@
 #include "resp/commands.h"
 #include "resp/decode.h"
 #include "resp/encode.h"
+#include "resp/info.h"
 
 namespace streampick::resp {
 
@@ -32,6 +34,7 @@
   std::size_t pipeline = 64;  // requests of one connection whose answers are not written yet, about
   std::size_t replies = 256;  // commands of one connection whose replies are not written yet
   std::size_t longest_value = 64 * 1024;
+  std::function<Figures()> figures = [] { return Figures{}; };  // of the front, for INFO
 };
 
 // A request for the engine. The tag comes back with its answer.
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -388,7 +388,9 @@
       listener_(io, settings.listen, *this),
       sweep_(io),
       scratch_(kScratch),
-      last_id_(settings.seed) {
+      last_id_(settings.seed),
+      started_(time.now()) {
+  settings_.rules.figures = [this] { return figures(); };
   listener_.go_on();
   sweep();
 }
@@ -461,6 +463,21 @@
   }));
 }
 
+Figures RespFront::figures() const {
+  Figures out;
+  out.uptime_seconds = static_cast<std::uint64_t>((time_.now() - started_) / kSecond);
+  out.port = address().port();
+  out.clients = sessions_.size();
+  out.most_clients = settings_.most_clients;
+  out.in_work = in_work_;
+  out.accepted = counts_.accepted;
+  out.turned_away = counts_.turned_away;
+  out.commands = counts_.commands;
+  out.requests = counts_.requests;
+  out.bad = counts_.bad;
+  return out;
+}
+
 std::string RespFront::summary() const {
   return "clients=" + std::to_string(open()) + " accepted=" + std::to_string(counts_.accepted) +
          " commands=" + std::to_string(counts_.commands) + " requests=" + std::to_string(counts_.requests) +
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -63,6 +63,7 @@
   bool has_room() const { return in_work_ < settings_.most_requests; }
   void in_work(std::size_t before, std::size_t now);
   std::uint64_t next_id();
+  Figures figures() const;
 
   boost::asio::io_context& io_;
   node::TimeSource& time_;
@@ -76,6 +77,7 @@
   std::vector<char> scratch_;
   std::size_t in_work_ = 0;
   std::uint64_t last_id_ = 0;
+  Time started_ = 0;
   std::int64_t last_session_ = 0;
   bool draining_ = false;
   Counts counts_;
--- a/tests/resp/conversation_test.cpp
+++ b/tests/resp/conversation_test.cpp
@@ -42,6 +42,29 @@
   EXPECT_FALSE(talk.over());
 }
 
+TEST_F(ConversationTest, InfoHasItsSectionsEachByName) {
+  rules.figures = [] {
+    Figures figures;
+    figures.clients = 7;
+    figures.commands = 12;
+    return figures;
+  };
+  put("INFO REPLICATION\r\n");
+  EXPECT_EQ(out(), "$48\r\n# Replication\r\nrole:master\r\nconnected_slaves:0\r\n\r\n");
+  put("INFO clients stats\r\n");
+  const std::string two = out();
+  EXPECT_NE(two.find("# Clients\r\nconnected_clients:7\r\n"), std::string::npos) << two;
+  EXPECT_NE(two.find("\r\n\r\n# Stats\r\n"), std::string::npos) << two;
+  EXPECT_NE(two.find("total_commands_processed:12\r\n"), std::string::npos) << two;
+  EXPECT_EQ(two.find("role:"), std::string::npos) << two;
+  put("INFO\r\n");
+  const std::string all = out();
+  EXPECT_NE(all.find("# Server\r\nserver_name:streampick\r\n"), std::string::npos) << all;
+  EXPECT_NE(all.find("role:master"), std::string::npos) << all;
+  put("INFO nothing\r\n");
+  EXPECT_EQ(out(), "$0\r\n\r\n");
+}
+
 TEST_F(ConversationTest, AnEmptyCommandHasNoReply) {
   put("*0\r\n*-1\r\n\r\nPING\r\n*0\r\nECHO x\r\n");
   EXPECT_EQ(out(), "+PONG\r\n$1\r\nx\r\n");
