HTTP: a request names its host once; a target with its host is taken

RFC 9112 section 3.2: HTTP/1.1 without Host, with two, or with one that holds what no host can, is answered 400; /up is asked by the platform with headers that are written down nowhere and needs none. http://host/path is taken and goes on to servers as the path alone. Tested over loopback sockets with 6 wrong forms, 2 odd right ones and 4 targets that name no path.

--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -79,7 +79,8 @@
 
 // What the message asks for, or the answer that says what is wrong with it.
 std::variant<Incoming, Response> read_request(HttpRequest& message, const Names& names) {
-  const std::string_view target = view(message.target());
+  if (!host_is_plain(message)) return problem(400, "one Host, and no other");
+  const std::string_view target = origin_form(view(message.target()));
   const std::string_view path = target.substr(0, target.find('?'));
   if (path.empty() || path.front() != '/') return problem(404, "no such path");
   const std::size_t slash = path.find('/', 1);
@@ -271,7 +272,8 @@
     HttpRequest message = parser_->release();
     version_ = message.version();
     last_ = !message.keep_alive();
-    if (message.target() == "/up") {
+    // The platform's question needs no Host: what it asks with is not written down.
+    if (origin_form(view(message.target())) == "/up") {
       if (message.method() != http::verb::get) return wrong(problem(405, "GET only"));
       return answer({owner_->draining_ ? 503U : 200U, "text/plain", "", 0, {}});
     }
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -47,4 +47,30 @@
          beast::iequals(message[http::field::transfer_encoding], "chunked");
 }
 
+// RFC 9112, section 3.2: an HTTP/1.1 request names its host once. Two names, or none, let two readers of it
+// think of two servers. An empty name is a name.
+template <typename Fields>
+bool host_is_plain(const http::header<true, Fields>& message) {
+  const std::size_t hosts = message.count(http::field::host);
+  if (hosts == 0) return message.version() < 11;
+  constexpr std::string_view others = "-._~%!$&'()*+,;=:[]";
+  const std::string_view host = view(message[http::field::host]);
+  return hosts == 1 && std::all_of(host.begin(), host.end(), [&](char c) {
+           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+                  others.find(c) != std::string_view::npos;
+         });
+}
+
+// The path and query of a target: of http://host/path, as a client that takes us for a proxy writes it, all
+// from the path on. Anything else stands as it is.
+inline std::string_view origin_form(std::string_view target) {
+  constexpr std::string_view scheme = "http://";
+  if (target.size() <= scheme.size() || !beast::iequals(target.substr(0, scheme.size()), scheme))
+    return target;
+  const std::size_t path = target.find_first_of("/?", scheme.size());
+  if (path == scheme.size()) return target;  // no host at all
+  if (path == std::string_view::npos) return "/";
+  return target[path] == '/' ? target.substr(path) : target;
+}
+
 }  // namespace streampick::node
--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -13,10 +13,10 @@
   start();
   const std::vector<std::pair<std::string, int>> cases = {
       {"nonsense\r\n\r\n", 400},
-      {"GET /read/1 HTTP/1.1\r\nX-Lane: read\r\nX-Remaining: 1\r\n\r\n", 400},
-      {"GET /read/1 HTTP/1.1\r\nX-Txn: xyz\r\nX-Lane: read\r\nX-Remaining: 1\r\n\r\n", 400},
-      {"GET /read/1 HTTP/1.1\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Remaining: 1\r\n\r\n", 400},
-      {"GET /read/1 HTTP/1.1\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Lane: read\r\n\r\n", 400},
+      {"GET /read/1 HTTP/1.1\r\nHost: a\r\nX-Lane: read\r\nX-Remaining: 1\r\n\r\n", 400},
+      {"GET /read/1 HTTP/1.1\r\nHost: a\r\nX-Txn: xyz\r\nX-Lane: read\r\nX-Remaining: 1\r\n\r\n", 400},
+      {"GET /read/1 HTTP/1.1\r\nHost: a\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Remaining: 1\r\n\r\n", 400},
+      {"GET /read/1 HTTP/1.1\r\nHost: a\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Lane: read\r\n\r\n", 400},
       {request_text("GET", "/read/1", "read", "", "soon"), 400},
       {request_text("GET", "/read/1", "read", "", "nan"), 400},
       {request_text("GET", "/read/1", "read", "", "-1"), 400},
@@ -42,6 +42,48 @@
   EXPECT_TRUE(cache.requests.empty() && origin.requests.empty());
 }
 
+TEST_F(Loopback, ARequestNamesItsHostOnce) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  const auto with = [](const std::string& host) {
+    std::string text = request_text("GET", "/read/1", "read");
+    return text.replace(text.find("Host: app.svc\r\n"), 15, host);
+  };
+  for (const std::string host : {"", "Host: a\r\nHost: a\r\n", "Host: a\r\nHost: b\r\n", "Host: a b\r\n",
+                                 "Host: a/b\r\n", "Host: me@a\r\n"}) {
+    const auto one = client();
+    one->ask(with(host));
+    ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; })) << host;
+    EXPECT_EQ(one->status(), 400) << host;
+  }
+  EXPECT_TRUE(cache.requests.empty());
+  for (const std::string host : {"Host: [::1]:80\r\n", "Host:\r\n"}) {
+    const auto one = client();
+    one->ask(with(host));
+    ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; })) << host;
+    EXPECT_EQ(one->status(), 200) << host;
+  }
+}
+
+// As RFC 9112 asks of every server: a client that takes it for a proxy names the host in the target.
+TEST_F(Loopback, ATargetWithItsHostIsTakenAndGoesOnWithout) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  const auto one = client();
+  one->ask(request_text("GET", "HTTP://app.svc:80/read/1?a=b", "read"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 200);
+  ASSERT_EQ(cache.requests.size(), 1U);
+  EXPECT_EQ(cache.requests[0].rfind("GET /read/1?a=b HTTP/1.1\r\n", 0), 0U) << cache.requests[0];
+  for (const char* target :
+       {"http:///read/1", "http://app.svc", "ftp://app.svc/read/1", "http://app.svc?x=/read/1"}) {
+    const auto other = client();
+    other->ask(request_text("GET", target, "read"));
+    ASSERT_TRUE(wait_for([&] { return other->answers.size() == 1; }));
+    EXPECT_EQ(other->status(), 404) << target;
+  }
+}
+
 TEST_F(Loopback, ABodyOf64KiBAndRequestsInOneSegmentAreTaken) {
   origin.answer = [](const std::string&) { return response(200, "x"); };
   start();
