The command line and the options file stand under an option of their own

They hung on STREAMPICK_RESP, which has nothing to do with them. STREAMPICK_OPTIONS builds them, every part that is set in the file turns it on, and each part reads its own section: src/options has the table reader, src/resp/options the section [resp], src/daemon joins them. The platform's build is as it was: no option, no TOML, no CLI11.

--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -19,26 +19,29 @@
   begin(settings, 0);
 }
 
+#ifdef STREAMPICK_WITH_OPTIONS
+Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings,
+           [[maybe_unused]] const Options& options)
+    : io_(io), clock_(clock), names_(settings.settings.names), summary_timer_(io) {
 #ifdef STREAMPICK_WITH_RESP
-Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings, const Options& options)
-    : io_(io),
-      clock_(clock),
-      names_(settings.settings.names),
-      resp_servers_(options.resp_servers),
-      summary_timer_(io) {
+  resp_servers_ = options.resp.servers;
   const Config& config = settings.settings.config;
   if (config.aside) origin_kind_ = config.origin_kind;
   NodeSettings own = settings;
-  if (repeats_run_twice(options, settings)) {
+  if (resp::repeats_run_twice(options.resp, settings.settings)) {
     log("keyed classes count as unsafe: the servers that take writes are not told keys "
         "(resp.servers.send_ids)");
     for (RequestClass& kind : own.settings.config.classes)
       if (kind.effect == Effect::keyed) kind.effect = Effect::unsafe;
   }
-  begin(own, options.resp_front ? options.resp_front->settings.most_clients : 0);
-  if (!options.resp_front) return;
-  resp_ = std::make_unique<resp::RespFront>(io_, clock_, names_, *engine_, options.resp_front->settings);
+  const auto& front = options.resp.front;
+  begin(own, front ? front->settings.most_clients : 0);
+  if (!front) return;
+  resp_ = std::make_unique<resp::RespFront>(io_, clock_, names_, *engine_, front->settings);
   engine_->add(*resp_);
+#else
+  begin(settings, 0);
+#endif
 }
 #endif
 
--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -15,7 +15,7 @@
 #include "net/clock.h"
 #include "net/links.h"
 #include "roster/discovery.h"
-#ifdef STREAMPICK_WITH_RESP
+#ifdef STREAMPICK_WITH_OPTIONS
 #include "daemon/options.h"
 #endif
 
@@ -25,9 +25,11 @@
  public:
   // Throws boost::system::system_error when an address can't be listened on.
   Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings);
-#ifdef STREAMPICK_WITH_RESP
+#ifdef STREAMPICK_WITH_OPTIONS
   // `options` are resolved.
   Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings, const Options& options);
+#endif
+#ifdef STREAMPICK_WITH_RESP
   const resp::RespFront* resp() const { return resp_.get(); }
   const resp::ServerCounts& resp_servers() const { return resp_counts_; }
 #endif
@@ -56,7 +58,7 @@
   std::unique_ptr<Discovery> discovery_;
   std::unique_ptr<Clients> http_;
 #ifdef STREAMPICK_WITH_RESP
-  std::optional<RespServers> resp_servers_;
+  std::optional<resp::ServerOptions> resp_servers_;
   std::uint32_t origin_kind_ = kNone;
   resp::ServerCounts resp_counts_;
   std::unique_ptr<resp::RespFront> resp_;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -12,7 +12,7 @@
 #include "daemon/host.h"
 #include "daemon/node_settings.h"
 #include "net/log.h"
-#ifdef STREAMPICK_WITH_RESP
+#ifdef STREAMPICK_WITH_OPTIONS
 #include <CLI/CLI.hpp>
 
 #include "daemon/options.h"
@@ -40,13 +40,13 @@
 struct Start {
   node::NodeSettings settings;
   const char* path = nullptr;  // of the platform's configuration
-#ifdef STREAMPICK_WITH_RESP
+#ifdef STREAMPICK_WITH_OPTIONS
   std::optional<node::Options> options;
 #endif
 };
 
 std::unique_ptr<node::Host> make_host(boost::asio::io_context& io, node::Clock& clock, const Start& start) {
-#ifdef STREAMPICK_WITH_RESP
+#ifdef STREAMPICK_WITH_OPTIONS
   if (start.options) return std::make_unique<node::Host>(io, clock, start.settings, *start.options);
 #endif
   return std::make_unique<node::Host>(io, clock, start.settings);
@@ -79,7 +79,7 @@
   out.path = std::getenv("NODE_CONFIG");
   if (out.path == nullptr || *out.path == '\0') throw std::runtime_error("NODE_CONFIG is not set");
   out.settings = node::load_settings(out.path);
-#ifdef STREAMPICK_WITH_RESP
+#ifdef STREAMPICK_WITH_OPTIONS
   if (!options_path.empty()) {
     out.options = node::load_options(options_path);
     node::resolve(*out.options, out.settings);
@@ -90,7 +90,7 @@
   return out;
 }
 
-#ifdef STREAMPICK_WITH_RESP
+#ifdef STREAMPICK_WITH_OPTIONS
 // Says what is on, or in one line what is wrong. Without a configuration of the platform's only the file
 // itself is looked at.
 int check(const std::string& options_path) {
@@ -113,7 +113,7 @@
 
 int main(int argc, char** argv) {
   std::string options_path;
-#ifdef STREAMPICK_WITH_RESP
+#ifdef STREAMPICK_WITH_OPTIONS
   bool only_check = false;
   CLI::App app("A router for key reads and saves over a fleet of cache servers.", "streampick_router");
   app.add_option("--options", options_path, "the operator's options file (TOML)");
@@ -130,7 +130,7 @@
 #else
   // What can't be heeded must not look as if it were.
   if (argc > 1) {
-    std::cerr << "streampick_router: " << argv[1] << ": built without STREAMPICK_RESP, it takes no options\n";
+    std::cerr << "streampick_router: " << argv[1] << ": this build takes no options (STREAMPICK_OPTIONS)\n";
     return kBadSettings;
   }
 #endif
@@ -141,7 +141,7 @@
   boost::asio::signal_set reloads(io, SIGHUP);
   Start start;
   try {
-#ifdef STREAMPICK_WITH_RESP
+#ifdef STREAMPICK_WITH_OPTIONS
     if (only_check) return check(options_path);
 #endif
     start = load(options_path);
--- a/tests/resp/options_test.cpp
+++ b/tests/resp/options_test.cpp
@@ -17,7 +17,7 @@
   try {
     Options options = parse_options(toml, "o.toml");
     resolve(options, parse_settings(config.dump()));
-  } catch (const OptionsError& error) {
+  } catch (const options::Error& error) {
     return error.what();
   }
   return "";
