--- a/bench/resp/requests.cpp
+++ b/bench/resp/requests.cpp
@@ -116,7 +116,7 @@
     if (resp_servers) options += "[resp.servers]\nsend_ids = true\nconnections = 16\n";
     standin::RouterProcess router(
         program, standin::router_config(host + std::to_string(http_port), host + "1", members, 512), options,
-        true);
+        "/dev/null");
     std::vector<std::unique_ptr<tcp::socket>> sockets;
     for (int i = 0; i < kClients; ++i) {
       boost::system::error_code error = asio::error::not_connected;
@@ -178,7 +178,7 @@
         "[resp.front]\nlisten = \"" + host + std::to_string(resp_port) +
             "\"\nread_class = \"tile-read\"\nwrite_class = \"annotation-save\"\nmost_clients = 1000\n"
             "[resp.servers]\nsend_ids = true\n",
-        true);
+        "/dev/null");
     std::vector<std::unique_ptr<tcp::socket>> sockets;
     long before = 0;
     for (int i = 0; i < 810; ++i) {
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -146,7 +146,7 @@
 }
 
 RouterProcess::RouterProcess(const std::string& program, const json& config, const std::string& options_toml,
-                             bool quiet) {
+                             const std::string& log) {
   std::string name = (std::filesystem::temp_directory_path() / "streampick-XXXXXX").string();
   if (::mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the router's files");
   folder_ = name;
@@ -157,9 +157,9 @@
   if (pid_ < 0) throw std::runtime_error("the router can't be started");
   if (pid_ == 0) {
     ::setenv("NODE_CONFIG", config_path.c_str(), 1);
-    if (quiet) {
-      const int null = ::open("/dev/null", O_WRONLY);
-      ::dup2(null, 2);
+    if (!log.empty()) {
+      const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
+      ::dup2(file, 2);
     }
     // The parent's sockets are not the router's.
     for (int fd = 3; fd < 1024; ++fd) ::close(fd);
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -45,9 +45,10 @@
 
 class RouterProcess {
  public:
-  // Starts `program` with `arguments`, its configuration written to a file of its own.
+  // Starts `program`, its configuration and options (empty: none) written to files of its own. Its log goes
+  // to the file `log`; empty: to our own standard error.
   RouterProcess(const std::string& program, const nlohmann::json& config, const std::string& options_toml,
-                bool quiet);
+                const std::string& log);
   ~RouterProcess();  // stops it, and removes its files
   RouterProcess(const RouterProcess&) = delete;
   RouterProcess& operator=(const RouterProcess&) = delete;
--- a/tools/demo.cpp
+++ b/tools/demo.cpp
@@ -109,12 +109,13 @@
 int main(int argc, char** argv) {
   bool once = false;
   unsigned short http_port = 3000, resp_port = 6380;
-  std::string router = "build-full/streampick_router";
+  std::string router = "build-full/streampick_router", log = "build-full/demo-router.log";
   CLI::App app("The router between stand-in caches, on loopback.", "demo");
   app.add_flag("--once", once, "end after the traffic");
   app.add_option("--http", http_port, "the router's port for HTTP");
   app.add_option("--resp", resp_port, "the router's port for RESP");
   app.add_option("--router", router, "the router's program");
+  app.add_option("--log", log, "the file that the router's log goes to");
   CLI11_PARSE(app, argc, argv);
   for (const unsigned short port : {http_port, resp_port})
     if (!is_free(port)) {
@@ -137,7 +138,7 @@
         "[resp.front]\nlisten = \"" + host + std::to_string(resp_port) +
             "\"\nread_class = \"tile-read\"\nwrite_class = \"annotation-save\"\n"
             "[resp.servers]\nsend_ids = true\nstore_ms = 60000\n",
-        false);
+        log);
     asio::signal_set stop(io, SIGINT, SIGTERM);
     stop.async_wait([&](boost::system::error_code error, int) {
       if (!error) io.stop();
@@ -172,6 +173,7 @@
     std::cout << "  the caches were given " << one.stores + two.stores + three.stores
               << " values that they had missed\n";
     const int code = process.stop();
+    std::cout << "  the router's log: " << log << '\n';
     if (!problem.empty()) throw std::runtime_error(problem);
     return code;
   } catch (const std::exception& wrong) {
