--- a/src/standin/http_cache.cpp
+++ b/src/standin/http_cache.cpp
@@ -1,6 +1,7 @@
 #include "standin/http_cache.h"
 
 #include <array>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <cstdlib>
 #include <utility>
@@ -13,7 +14,8 @@
 
 class HttpCache::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(HttpCache& owner, tcp::socket socket) : owner_(&owner), socket_(std::move(socket)) {
+  Connection(HttpCache& owner, tcp::socket socket)
+      : owner_(&owner), socket_(std::move(socket)), timer_(owner.io_) {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
   }
@@ -58,6 +60,14 @@
       out_ += "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
     if (out_.empty()) return read();
+    const auto delay = owner_->delay.load();
+    if (delay.count() == 0) return write();
+    timer_.expires_after(delay);
+    timer_.async_wait([self = shared_from_this()](error_code) {
+      if (self->owner_ != nullptr) self->write();
+    });
+  }
+  void write() {
     asio::async_write(socket_, asio::buffer(out_),
                       [self = shared_from_this()](error_code error, std::size_t) {
                         if (self->owner_ == nullptr) return;
@@ -67,6 +77,7 @@
   }
   HttpCache* owner_;
   tcp::socket socket_;
+  asio::steady_timer timer_;
   std::array<char, 16 * 1024> chunk_{};
   std::string in_, out_;
 };
--- a/src/standin/http_cache.h
+++ b/src/standin/http_cache.h
@@ -2,8 +2,10 @@
 // holds no values. For measurements and the demo; never a part of the router.
 #pragma once
 
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <set>
@@ -20,6 +22,7 @@
   HttpCache& operator=(const HttpCache&) = delete;
   std::string address() const;
   std::uint64_t requests = 0;
+  std::atomic<std::chrono::milliseconds> delay{};  // before each answer; may be set from another thread
 
  private:
   class Connection;
