--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -65,10 +65,9 @@
     host.drain([&] { done = true; });
   });
   while (!done) {
+    // Not run_one and then poll: that would ask the kernel once more after each batch, most often for nothing.
     clock.next_batch();
     io.run_one();
-    for (int more = 0; more < 64 && !done && io.poll_one() > 0; ++more) {
-    }
   }
   node::log("stopped: " + host.summary());
 }
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -13,7 +13,7 @@
 constexpr Time kAnswerTakes = 20 * kMs, kGuardBefore = 8 * kMs;
 constexpr Time kAcceptAfterTerm = 500 * kMs, kAnswerAfterTerm = 3'200 * kMs, kLastWrites = 200 * kMs;
 constexpr Time kRememberTxn = 2 * kSecond;
-constexpr std::size_t kMostEndedTxns = 4096;
+constexpr std::size_t kMostEndedTxns = 4096, kMostEndedExpiries = 1024;
 
 bool may_have_run(Outcome outcome) {
   switch (outcome) {
@@ -73,7 +73,7 @@
     ended_.push_back({{request, number}, Outcome::not_sent});
     return;
   }
-  expiries_.emplace(expires, request, number);
+  expire_at({expires, request, number});
   servers_[server].transport->send({request, number}, open.message, expires);
 }
 
@@ -132,7 +132,7 @@
   const Time gives_up = std::min(now + incoming.remaining, drain_end_);
   open.deadline = gives_up - std::min(kAnswerTakes, incoming.remaining / 10);
   open.guard = gives_up - std::min(kGuardBefore, incoming.remaining / 25);
-  expiries_.emplace(open.guard, id, kNone);
+  expire_at({open.guard, id, kNone});
 
   Request request;
   request.id = id;
@@ -166,7 +166,6 @@
   if (found == requests_.end() || found->second.over) return;
   Open& open = found->second;
   open.over = true;
-  expiries_.erase({open.guard, request, kNone});
   const std::shared_ptr<Asker> asker = std::exchange(open.asker, nullptr);
   reply.may_have_run = open.may_have_run || std::any_of(open.attempts.begin(), open.attempts.end(),
                                                         [](const Attempt& attempt) { return attempt.live; });
@@ -207,7 +206,6 @@
   if (may_have_run(outcome)) open.may_have_run = true;
   // What the source of all values lacks, or any server where there is no such source, does not exist.
   if (attempt.missed && (origin_kind_ == kNone || servers_[attempt.server].source)) open.absent = true;
-  expiries_.erase({attempt.expires, id.request, id.number});
   ++counts_.outcomes[static_cast<std::size_t>(outcome)];
   AttemptResult result;
   result.request = id.request;
@@ -230,7 +228,6 @@
   const auto& attempts = found->second.attempts;
   if (std::any_of(attempts.begin(), attempts.end(), [](const Attempt& attempt) { return attempt.live; }))
     return;
-  expiries_.erase({found->second.guard, request, kNone});
   ended_txns_.emplace_back(time_.now(), found->second.txn);
   if (stores_back_ && is_write(found->second.message->operation)) {
     store_back_.write_ended(found->second.key, time_.now());
@@ -264,9 +261,35 @@
 
 // ---- Time
 
+void Engine::expire_at(Expiry expiry) {
+  // Where requests end long before their time, what has ended must not outgrow what is open.
+  if (expiries_.size() > kMostEndedExpiries + 4 * requests_.size()) {
+    std::erase_if(expiries_, [this](const Expiry& other) { return !is_due(other); });
+    std::make_heap(expiries_.begin(), expiries_.end(), std::greater<>());
+  }
+  expiries_.push_back(expiry);
+  std::push_heap(expiries_.begin(), expiries_.end(), std::greater<>());
+}
+
+void Engine::drop_first_expiry() {
+  std::pop_heap(expiries_.begin(), expiries_.end(), std::greater<>());
+  expiries_.pop_back();
+}
+
+// Whether what it stands for has not ended.
+bool Engine::is_due(const Expiry& expiry) const {
+  const auto found = requests_.find(expiry.request);
+  if (found == requests_.end()) return false;
+  const Open& open = found->second;
+  if (expiry.number == kNone) return !open.over;
+  return expiry.number < open.attempts.size() && open.attempts[expiry.number].live;
+}
+
 void Engine::arm() {
   Time next = router_->next_wakeup();
-  if (!expiries_.empty()) next = std::min(next, std::get<Time>(*expiries_.begin()));
+  // What has ended by itself is nothing to wake for.
+  while (!expiries_.empty() && !is_due(expiries_.front())) drop_first_expiry();
+  if (!expiries_.empty()) next = std::min(next, expiries_.front().at);
   if (next >= armed_) return;  // an early wake-up does no harm
   armed_ = next;
   timer_->set(next);
@@ -275,9 +298,11 @@
 void Engine::wake() {
   const Time now = time_.now();
   std::vector<RequestId> guarded;
-  while (!expiries_.empty() && std::get<Time>(*expiries_.begin()) <= now) {
-    const auto [at, request, number] = *expiries_.begin();
-    expiries_.erase(expiries_.begin());
+  while (!expiries_.empty() && expiries_.front().at <= now) {
+    const Expiry expiry = expiries_.front();
+    drop_first_expiry();
+    if (!is_due(expiry)) continue;
+    const auto [at, request, number] = expiry;
     if (number == kNone) {
       guarded.push_back(request);
       continue;
@@ -309,10 +334,10 @@
 
 void Engine::every_second() {
   // Closed a little before the server would: a request that crosses the server's close is lost.
-  if (keep_alive_ > 0)
-    for (const Server& server : servers_)
-      if (server.transport)
-        server.transport->close_idle(time_.now() - std::max(keep_alive_ - 2 * kSecond, keep_alive_ * 8 / 10));
+  const Time unused =
+      keep_alive_ > 0 ? time_.now() - std::max(keep_alive_ - 2 * kSecond, keep_alive_ * 8 / 10) : 0;
+  for (const Server& server : servers_)
+    if (server.transport) server.transport->close_idle(unused);
   forget_txns();
   second_->set(time_.now() + kSecond);
   settle();
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -9,7 +9,6 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -100,7 +99,14 @@
     AttemptId attempt;
     Outcome outcome;
   };
-  using Expiry = std::tuple<Time, RequestId, std::uint32_t>;  // an attempt's, or with kNone the guard's
+  struct Expiry {
+    Time at = 0;
+    RequestId request = 0;
+    std::uint32_t number = kNone;  // an attempt's, or with kNone the guard's
+    bool operator>(const Expiry& other) const {
+      return std::tie(at, request, number) > std::tie(other.at, other.request, other.number);
+    }
+  };
 
   ServerId intern(const Listed& listed);
   void apply(Update update, const MemberList& list);
@@ -118,6 +124,9 @@
   void drain_fronts();
   std::size_t unanswered() const;
   void guard(RequestId request);
+  void expire_at(Expiry expiry);
+  bool is_due(const Expiry& expiry) const;
+  void drop_first_expiry();
   void arm();
   void every_second();
   void end_drain();
@@ -138,7 +147,8 @@
   std::unordered_set<std::uint64_t> txns_;  // of the open ones, and of the last to end
   std::deque<std::pair<Time, std::uint64_t>> ended_txns_;
   std::vector<Time> patience_;  // by class: the longest that its clients wait
-  std::set<Expiry> expiries_;
+  // A heap, the next one first. What has ended stays in it until its turn comes, or until most have ended.
+  std::vector<Expiry> expiries_;
   std::deque<Ended> ended_;
   StoreBack store_back_;
   bool stores_back_ = false;
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -2,15 +2,14 @@
 
 #include <algorithm>
 #include <array>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
+#include <boost/asio/post.hpp>
 #include <charconv>
-#include <cmath>
 #include <optional>
 #include <utility>
 #include <variant>
 
 #include "http1/protocol.h"
+#include "http1/reader.h"
 #include "net/log.h"
 
 namespace streampick::node {
@@ -18,7 +17,7 @@
 namespace {
 
 constexpr std::size_t kMostAhead = kLongestHeader;  // read while a request is in work
-constexpr std::size_t kScratch = 32 * 1024, kMostDiscarded = 1024 * 1024;
+constexpr std::size_t kChunk = 4 * 1024, kMostDiscarded = 1024 * 1024;
 constexpr Time kMs = 1'000, kSecond = 1'000 * kMs;
 constexpr Time kLongestWait = 86'400 * kSecond;
 // A connection that has not sent its first whole request this long after it was accepted, or a later one
@@ -35,8 +34,6 @@
   return value;
 }
 
-using HttpRequest = http::request<http::string_body>;
-
 // Seconds with decimals, as the protocol has it: no sign, exponent or name of a number.
 std::optional<Time> parse_seconds(std::string_view text) {
   if (text.empty() || text.find_first_not_of("0123456789.") != std::string_view::npos) return std::nullopt;
@@ -71,16 +68,17 @@
 }
 
 // A header that says two things says nothing; trailers count too.
-bool says_twice(const HttpRequest& message) {
-  constexpr std::array<const char*, 6> names = {"X-Txn", "X-Lane",     "X-Remaining",
-                                                "X-Org", "X-Estimate", "Idempotency-Key"};
-  return std::any_of(names.begin(), names.end(), [&](const char* name) { return message.count(name) > 1; });
+bool says_twice(const RequestHead& head) {
+  return std::max({head.txn.times, head.lane.times, head.remaining.times, head.org.times, head.estimate.times,
+                   head.idempotency_key.times}) > 1;
 }
 
 // What the message asks for, or the answer that says what is wrong with it.
-std::variant<Incoming, Response> read_request(HttpRequest& message, const Names& names) {
-  if (!host_is_plain(message)) return problem(400, "one Host, and no other");
-  const std::string_view target = origin_form(view(message.target()));
+std::variant<Incoming, Response> read_request(const RequestHead& head, std::string& body,
+                                              const Names& names) {
+  if (!host_is_plain(head.version, head.host.times, head.host.value))
+    return problem(400, "one Host, and no other");
+  const std::string_view target = origin_form(head.target);
   const std::string_view path = target.substr(0, target.find('?'));
   if (path.empty() || path.front() != '/') return problem(404, "no such path");
   const std::size_t slash = path.find('/', 1);
@@ -89,7 +87,7 @@
   Incoming out;
   out.request_class = index_of(names.classes, first);
 
-  const std::string_view lane = view(message["X-Lane"]);
+  const std::string_view lane = head.lane.value;
   if (lane.empty()) {
     if (out.request_class == kNone) return problem(404, "no such path");
     return problem(400, "no X-Lane");
@@ -97,43 +95,48 @@
   if (index_of(names.classes, lane) == kNone) return problem(400, "unknown class in X-Lane");
   if (out.request_class == kNone) return problem(404, "no such path");
   if (first != lane) return problem(400, "X-Lane and path differ");
-  const bool write = message.method() == http::verb::put;
-  if (!write && message.method() != http::verb::get) return problem(405, "GET and PUT only");
+  const bool write = head.method == http::verb::put;
+  if (!write && head.method != http::verb::get) return problem(405, "GET and PUT only");
 
   // Without its key the repeats of a keyed write can't be told from new ones, and nobody could retry it.
-  if (write && names.keyed.at(out.request_class) && message["Idempotency-Key"].empty())
+  if (write && names.keyed.at(out.request_class) && head.idempotency_key.value.empty())
     return problem(400, "no Idempotency-Key");
-  if (says_twice(message)) return problem(400, "a header stands there twice");
-  const std::string_view txn = view(message["X-Txn"]);
-  const auto id = parse_hex(txn);
+  if (says_twice(head)) return problem(400, "a header stands there twice");
+  const auto id = parse_hex(head.txn.value);
   if (!id) return problem(400, "X-Txn must be 16 hex digits");
   out.txn = *id;
-  const auto remaining = parse_seconds(view(message["X-Remaining"]));
+  const auto remaining = parse_seconds(head.remaining.value);
   if (!remaining) return problem(400, "X-Remaining must be a number of seconds");
   out.remaining = *remaining;
 
   out.has_key = !key.empty();
   if (out.has_key) out.key = parse_hex(key).value_or(hash_name(key));
-  out.tenant = index_of(names.tenants, view(message["X-Org"]));
+  out.tenant = index_of(names.tenants, head.org.value);
   // A hint that can't be read is no hint.
-  if (const auto hint = to_number(view(message["X-Estimate"])); hint && *hint > 0 && *hint < 1e12)
+  if (const auto hint = to_number(head.estimate.value); hint && *hint > 0 && *hint < 1e12)
     out.cost_hint = static_cast<Time>(*hint);
 
   out.message = std::make_shared<Message>();
   out.message->operation = write ? Operation::write : Operation::read;
   out.message->target = target;
   out.message->key = key;
-  out.message->txn = txn;
-  out.message->idempotency_key = view(message["Idempotency-Key"]);
-  out.message->content_type = view(message[http::field::content_type]);
-  out.message->body = std::move(message.body());
+  out.message->txn = head.txn.value;
+  out.message->idempotency_key = head.idempotency_key.value;
+  out.message->content_type = head.content_type.value;
+  out.message->body = std::move(body);
   return out;
 }
 
+std::string_view reason(unsigned status) {
+  const auto text = http::obsolete_reason(static_cast<http::status>(status));
+  return {text.data(), text.size()};
+}
+
 }  // namespace
 
-// Its socket is waited on at all times, so that a client that goes away is noticed while its request is in
-// work; what it sends ahead waits in the buffer.
+// Its socket is read at all times, so that a client that goes away is noticed while its request is in work;
+// what it sends ahead waits in the buffer. The loop's own read is registered once and costs no system call
+// but the read itself; what fills the chunk is followed by another at once.
 class Clients::Session final : public Asker, public std::enable_shared_from_this<Session> {
  public:
   Session(Clients& owner, tcp::socket socket)
@@ -146,13 +149,11 @@
   void placed(Queue::iterator place) { place_ = place; }
 
   // The first request is most often there already.
-  void read() {
-    if (owner_ == nullptr || waiting_ || buffer_.size() > kMostAhead + kLongestBody) return;
+  void begin() {
     error_code error;
-    const std::size_t got = socket_.read_some(asio::buffer(owner_->scratch_), error);
-    if (error == asio::error::would_block) return wait();
-    if (error) return close();
-    received(got);
+    const std::size_t got = socket_.read_some(asio::buffer(chunk_), error);
+    if (error && error != asio::error::would_block) return close();
+    if (!error) received(got);
     wait();
   }
 
@@ -166,7 +167,7 @@
     error_code ignored;
     return socket_.available(ignored) > 0;
   }
-  bool silent() const { return buffer_.size() == 0 && !parser_->got_some(); }
+  bool silent() const { return ahead_.empty() && !parser_->got_some(); }
 
   // It has stood still for too long.
   void expire() {
@@ -207,23 +208,25 @@
   }
 
   void next_message() {
-    parser_.emplace();
-    parser_->body_limit(kLongestBody);
-    parser_->header_limit(kLongestHeader);
-    parser_->eager(true);
+    parser_.emplace(head_, in_body_, kLongestBody);
     told_to_go_on_ = checked_ = false;
   }
 
   void wait() {
     if (owner_ == nullptr || waiting_) return;
-    if (state_ == State::asked && buffer_.size() > kMostAhead) return;  // again once it is answered
+    if (state_ == State::asked && ahead_.size() > kMostAhead) return;  // again once it is answered
     waiting_ = true;
-    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
-      self->waiting_ = false;
-      if (!error) self->read();
-    });
+    socket_.async_read_some(asio::buffer(chunk_),
+                            [self = shared_from_this()](error_code error, std::size_t got) {
+                              self->waiting_ = false;
+                              if (self->owner_ == nullptr) return;
+                              if (error) return self->close();
+                              self->received(got);
+                              self->wait();
+                            });
   }
 
+  // From the chunk. A message is parsed where it came; only what is left of it waits in a buffer.
   void received(std::size_t got) {
     if (state_ == State::lingering) {
       // A body of any size may still be on its way; what nobody reads is not worth much time.
@@ -231,53 +234,62 @@
       if (discarded_ > kMostDiscarded) close();
       return;
     }
-    const auto to = buffer_.prepare(got);
-    std::copy_n(owner_->scratch_.data(), got, static_cast<char*>(to.data()));
-    buffer_.commit(got);
-    if (state_ != State::asked && state_ != State::writing) parse();
+    const std::string_view bytes(chunk_.data(), got);
+    if (state_ == State::asked || state_ == State::writing) {
+      ahead_ += bytes;
+    } else if (ahead_.empty()) {
+      ahead_ = bytes.substr(parse(bytes));
+    } else {
+      ahead_ += bytes;
+      parse_ahead();
+    }
   }
 
-  bool reading() const { return state_ == State::fresh || state_ == State::idle || state_ == State::begun; }
+  void parse_ahead() {
+    ahead_.erase(0, parse(ahead_));
+    if (ahead_.empty() && ahead_.capacity() > 64) ahead_ = {};
+  }
 
-  void parse() {
+  // Returns how much of it was used; what follows a whole message is not.
+  std::size_t parse(std::string_view bytes) {
     // A first request's time counts from when its connection was accepted, however slowly it drips in.
-    if (state_ == State::idle && buffer_.size() > 0) enter(State::begun);
-    while (buffer_.size() > 0 && !parser_->is_done()) {
-      error_code failed;
-      buffer_.consume(parser_->put(buffer_.data(), failed));
-      if (failed == http::error::need_more) break;
-      if (failed) {
-        last_ = true;
-        if (failed == http::error::body_limit) return answer(problem(413, "the body is over 64 KiB"));
-        return answer(problem(400, failed.message()));
+    if (state_ == State::idle && !bytes.empty()) enter(State::begun);
+    error_code failed;
+    const std::size_t used = parser_->read(bytes, failed);
+    if (failed) {
+      last_ = true;
+      if (failed == http::error::body_limit) {
+        answer(problem(413, "the body is over 64 KiB"));
+      } else {
+        answer(problem(400, failed.message()));
       }
+      return used;
     }
-    if (parser_->is_header_done() && !std::exchange(checked_, true) && !framing_is_plain(parser_->get())) {
+    if (parser_->is_header_done() && !std::exchange(checked_, true) && !head_.framing.plain(head_.version)) {
       last_ = true;
-      return answer(problem(400, "where the message ends is in doubt"));
+      answer(problem(400, "where the message ends is in doubt"));
+      return used;
     }
     if (parser_->is_done()) {
       asked();
     } else if (parser_->is_header_done() && !told_to_go_on_ &&
-               beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+               beast::iequals(head_.expect.value, "100-continue")) {
       told_to_go_on_ = true;
       static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
       error_code ignored;
       socket_.write_some(asio::buffer(go_on), ignored);
     }
-    if (buffer_.size() == 0) buffer_.shrink_to_fit();
+    return used;
   }
 
   void asked() {
-    HttpRequest message = parser_->release();
-    version_ = message.version();
-    last_ = !message.keep_alive();
+    last_ = !parser_->keep_alive();
     // The platform's question needs no Host: what it asks with is not written down.
-    if (origin_form(view(message.target())) == "/up") {
-      if (message.method() != http::verb::get) return wrong(problem(405, "GET only"));
+    if (origin_form(head_.target) == "/up") {
+      if (head_.method != http::verb::get) return wrong(problem(405, "GET only"));
       return answer({owner_->draining_ ? 503U : 200U, "text/plain", "", 0, {}});
     }
-    auto read = read_request(message, owner_->names_);
+    auto read = read_request(head_, in_body_, owner_->names_);
     if (Response* problem_found = std::get_if<Response>(&read)) return wrong(std::move(*problem_found));
     enter(State::asked);
     // It may be answered within the call, before its id is known here.
@@ -297,51 +309,87 @@
     enter(State::writing);
     request_ = 0;
     last_ = last_ || owner_->draining_;
-    response_ = {static_cast<http::status>(reply.status), version_};
-    if (!reply.content_type.empty()) response_.set(http::field::content_type, reply.content_type);
-    if (reply.retry_after > 0) response_.set(http::field::retry_after, seconds(reply.retry_after));
-    if (reply.status == 405) response_.set(http::field::allow, "GET, PUT");
-    response_.body() = std::move(reply.body);
+    out_head_ = head_.version == 10 ? "HTTP/1.0 " : "HTTP/1.1 ";
+    append_number(out_head_, reply.status);
+    out_head_.append(" ").append(reason(reply.status));
+    if (!reply.content_type.empty()) out_head_.append("\r\nContent-Type: ").append(reply.content_type);
+    if (reply.retry_after > 0) append_seconds(out_head_.append("\r\nRetry-After: "), reply.retry_after);
+    if (reply.status == 405) out_head_ += "\r\nAllow: GET, PUT";
+    if (last_ && head_.version != 10) out_head_ += "\r\nConnection: close";
+    if (!last_ && head_.version == 10) out_head_ += "\r\nConnection: keep-alive";
+    append_number(out_head_.append("\r\nContent-Length: "), reply.body.size());
+    out_head_ += "\r\n\r\n";
+    out_body_ = std::move(reply.body);
     lease_ = std::move(reply.lease);
-    response_.keep_alive(!last_);
-    response_.prepare_payload();
-    http::async_write(socket_, response_,
-                      [self = shared_from_this()](error_code error, std::size_t) { self->written(error); });
+    written_ = 0;
+    push();
+  }
+
+  // Writes what the socket takes; waits only when it takes no more.
+  void push() {
+    while (owner_ != nullptr && written_ < out_head_.size() + out_body_.size()) {
+      const std::size_t of_head = std::min(written_, out_head_.size()), of_body = written_ - of_head;
+      const std::array<asio::const_buffer, 2> rest = {
+          asio::buffer(out_head_.data() + of_head, out_head_.size() - of_head),
+          asio::buffer(out_body_.data() + of_body, out_body_.size() - of_body)};
+      error_code error;
+      written_ += socket_.write_some(rest, error);
+      if (error == asio::error::would_block) {
+        socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
+          if (self->owner_ == nullptr) return;
+          if (failed) return self->close();
+          self->push();
+        });
+        return;
+      }
+      if (error) return end_soon();
+    }
+    // Not from within the call that gave the answer: the next request may stand in the buffer.
+    if (last_ || !ahead_.empty() || !waiting_) {
+      asio::post(socket_.get_executor(), [self = shared_from_this()] { self->written(); });
+    } else {
+      written();
+    }
   }
 
-  void written(error_code error) {
+  // A client that has gone: what is told of it must not come from within the engine's call.
+  void end_soon() {
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->close(); });
+  }
+
+  void written() {
     if (owner_ == nullptr) return;
-    if (error) return close();
-    response_ = {};
+    out_body_ = {};
     lease_ = {};
     if (last_) {
       // A close with unread bytes would reset the connection and could take the answer with it: the
       // client is given the time to end it first.
       enter(State::lingering);
-      buffer_.consume(buffer_.size());
-      buffer_.shrink_to_fit();
-      socket_.shutdown(tcp::socket::shutdown_send, error);
+      ahead_ = {};
+      error_code ignored;
+      socket_.shutdown(tcp::socket::shutdown_send, ignored);
       return wait();
     }
     next_message();
     enter(State::idle);
-    if (buffer_.size() > 0) parse();
+    if (!ahead_.empty()) parse_ahead();
     wait();
   }
 
   Clients* owner_;  // none once it is closed
   tcp::socket socket_;
-  beast::flat_buffer buffer_;
-  std::optional<http::request_parser<http::string_body>> parser_;
-  http::response<http::string_body> response_;
-  Lease lease_;  // of its body
+  std::string ahead_;  // came, and is not parsed yet
+  RequestHead head_;
+  std::string in_body_, out_head_, out_body_;
+  std::optional<RequestReader> parser_;
+  Lease lease_;  // of the answer's body
   RequestId request_ = 0;
   Time since_;  // the last change of state
-  std::size_t discarded_ = 0;
+  std::size_t discarded_ = 0, written_ = 0;
   Queue::iterator place_;
   State state_ = State::fresh;
-  unsigned version_ = 11;
   bool waiting_ = false, last_ = false, told_to_go_on_ = false, checked_ = false;
+  std::array<char, kChunk> chunk_;
 };
 
 Clients::Clients(asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
@@ -351,8 +399,7 @@
       requests_(requests),
       listener_(io, listen, *this),
       sweep_(io),
-      most_open_(most_open),
-      scratch_(kScratch) {
+      most_open_(most_open) {
   listener_.go_on();
   sweep();
 }
@@ -367,7 +414,7 @@
   ++open_;
   Queue& fresh = queue(State::fresh);
   session->placed(fresh.insert(fresh.end(), session));
-  session->read();
+  session->begin();
 }
 
 // Connections that say nothing come by hundreds and must not push out clients that ask: what has its
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -10,7 +10,6 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "engine/front.h"
 #include "net/clock.h"
@@ -59,7 +58,6 @@
   boost::asio::steady_timer sweep_;
   std::size_t most_open_, open_ = 0;
   std::array<Queue, 6> queues_;
-  std::vector<char> scratch_;  // what any of them reads goes here first: one that is idle holds no buffer
   bool draining_ = false;
 };
 
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -21,40 +21,28 @@
 // The protocol has no body over 64 KiB, but servers were seen to answer with 350 KB, as good as any other.
 inline constexpr std::size_t kLongestAnswer = 1024 * 1024;
 
-// Seconds with three decimals, as X-Remaining and Retry-After carry them.
-inline std::string seconds(Time time) {
-  std::array<char, 32> text{};
-  const double value = static_cast<double>(std::max<Time>(time, 0)) / 1e6;
-  const auto end =
-      std::to_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed, 3).ptr;
-  return {text.data(), end};
+// Seconds with three decimals, as X-Remaining and Retry-After carry them, behind what `out` holds.
+inline void append_seconds(std::string& out, Time time) {
+  const Time ms = (std::max<Time>(time, 0) + 500) / 1'000;
+  std::array<char, 24> text{};
+  out.append(text.data(), std::to_chars(text.data(), text.data() + text.size(), ms / 1'000).ptr);
+  const auto rest = static_cast<int>(ms % 1'000);
+  for (const int digit : {-1, rest / 100, rest / 10 % 10, rest % 10})
+    out += digit < 0 ? '.' : static_cast<char>('0' + digit);
 }
 
-inline std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
-
-// Where a message ends must be beyond doubt: what one side takes for its body another may take for the
-// next message. Beast refuses a length beside chunks and lengths that differ; it lets pass the same length
-// twice, as a list too, codings other than chunked (with the body left in the stream) and a coding in
-// HTTP/1.0.
-template <bool IsRequest, typename Fields>
-bool framing_is_plain(const http::header<IsRequest, Fields>& message) {
-  if (message.count(http::field::content_length) > 1) return false;
-  const std::string_view length = view(message[http::field::content_length]);
-  if (length.find_first_not_of("0123456789") != std::string_view::npos) return false;
-  const std::size_t codings = message.count(http::field::transfer_encoding);
-  if (codings == 0) return true;
-  return codings == 1 && message.version() == 11 && message.count(http::field::content_length) == 0 &&
-         beast::iequals(message[http::field::transfer_encoding], "chunked");
+inline void append_number(std::string& out, std::size_t value) {
+  std::array<char, 24> text{};
+  out.append(text.data(), std::to_chars(text.data(), text.data() + text.size(), value).ptr);
 }
 
+inline std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
+
 // RFC 9112, section 3.2: an HTTP/1.1 request names its host once. Two names, or none, let two readers of it
 // think of two servers. An empty name is a name.
-template <typename Fields>
-bool host_is_plain(const http::header<true, Fields>& message) {
-  const std::size_t hosts = message.count(http::field::host);
-  if (hosts == 0) return message.version() < 11;
+inline bool host_is_plain(unsigned version, unsigned hosts, std::string_view host) {
+  if (hosts == 0) return version < 11;
   constexpr std::string_view others = "-._~%!$&'()*+,;=:[]";
-  const std::string_view host = view(message[http::field::host]);
   return hosts == 1 && std::all_of(host.begin(), host.end(), [&](char c) {
            return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
                   others.find(c) != std::string_view::npos;
--- /dev/null
+++ b/src/http1/reader.cpp
@@ -0,0 +1,145 @@
+#include "http1/reader.h"
+
+#include <algorithm>
+
+namespace streampick::node {
+namespace {
+
+// A length that is only announced is no reason to take memory.
+constexpr std::size_t kReserveAtMost = 64 * 1024;
+
+bool is(beast::string_view name, std::string_view wanted) {
+  return name.size() == wanted.size() &&
+         beast::iequals(name, beast::string_view(wanted.data(), wanted.size()));
+}
+
+// The field of a request's head by this name; none: it is of no use here.
+Field* field_of(RequestHead& head, http::field field, beast::string_view name) {
+  switch (field) {
+    case http::field::host: return &head.host;
+    case http::field::content_length: return &head.framing.length;
+    case http::field::transfer_encoding: return &head.framing.coding;
+    case http::field::content_type: return &head.content_type;
+    case http::field::expect: return &head.expect;
+    case http::field::unknown: break;
+    default: return nullptr;
+  }
+  switch (name.size()) {
+    case 5: return is(name, "X-Txn") ? &head.txn : is(name, "X-Org") ? &head.org : nullptr;
+    case 6: return is(name, "X-Lane") ? &head.lane : nullptr;
+    case 10: return is(name, "X-Estimate") ? &head.estimate : nullptr;
+    case 11: return is(name, "X-Remaining") ? &head.remaining : nullptr;
+    case 15: return is(name, "Idempotency-Key") ? &head.idempotency_key : nullptr;
+    default: return nullptr;
+  }
+}
+
+Field* field_of(ResponseHead& head, http::field field, beast::string_view name) {
+  switch (field) {
+    case http::field::content_length: return &head.framing.length;
+    case http::field::transfer_encoding: return &head.framing.coding;
+    case http::field::content_type: return &head.content_type;
+    case http::field::unknown: return is(name, "X-Turned-Away") ? &head.turned_away : nullptr;
+    default: return nullptr;
+  }
+}
+
+}  // namespace
+
+bool Framing::plain(unsigned version) const {
+  if (length.times > 1) return false;
+  if (length.value.find_first_not_of("0123456789") != std::string::npos) return false;
+  if (coding.times == 0) return true;
+  return coding.times == 1 && version == 11 && length.times == 0 && beast::iequals(coding.value, "chunked");
+}
+
+void RequestHead::clear() {
+  method = http::verb::unknown;
+  version = 11;
+  if (target.capacity() > 512) target = {};
+  target.clear();
+  for (Field* field :
+       {&host, &txn, &lane, &remaining, &org, &estimate, &idempotency_key, &content_type, &expect})
+    field->clear();
+  framing.clear();
+}
+
+void ResponseHead::clear() {
+  status = 0;
+  version = 11;
+  for (Field* field : {&content_type, &turned_away}) field->clear();
+  framing.clear();
+}
+
+template <bool IsRequest>
+MessageReader<IsRequest>::MessageReader(Head& head, std::string& body, std::size_t longest_body)
+    : head_(head), body_(body) {
+  head_.clear();
+  body_.clear();
+  this->body_limit(longest_body);
+  this->header_limit(kLongestHeader);
+  this->eager(true);
+}
+
+template <bool IsRequest>
+std::size_t MessageReader<IsRequest>::read(std::string_view bytes, error_code& wrong) {
+  std::size_t used = 0;
+  while (used < bytes.size() && !this->is_done()) {
+    used += this->put(boost::asio::buffer(bytes.data() + used, bytes.size() - used), wrong);
+    if (wrong == http::error::need_more) {
+      wrong = {};
+      break;
+    }
+    if (wrong) break;
+  }
+  return used;
+}
+
+template <bool IsRequest>
+void MessageReader<IsRequest>::on_request_impl(http::verb method, View, View target, int version,
+                                               error_code&) {
+  if constexpr (IsRequest) {
+    head_.method = method;
+    head_.target.assign(target.data(), target.size());
+    head_.version = static_cast<unsigned>(version);
+  } else {
+    (void)method, (void)target, (void)version;
+  }
+}
+
+template <bool IsRequest>
+void MessageReader<IsRequest>::on_response_impl(int status, View, int version, error_code&) {
+  if constexpr (!IsRequest) {
+    head_.status = static_cast<unsigned>(status);
+    head_.version = static_cast<unsigned>(version);
+  } else {
+    (void)status, (void)version;
+  }
+}
+
+template <bool IsRequest>
+void MessageReader<IsRequest>::on_field_impl(http::field field, View name, View value, error_code&) {
+  if (Field* kept = field_of(head_, field, name)) kept->put(view(value));
+}
+
+template <bool IsRequest>
+void MessageReader<IsRequest>::on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code&) {
+  if (length) body_.reserve(static_cast<std::size_t>(std::min<std::uint64_t>(*length, kReserveAtMost)));
+}
+
+template <bool IsRequest>
+std::size_t MessageReader<IsRequest>::on_body_impl(View part, error_code&) {
+  body_.append(part.data(), part.size());
+  return part.size();
+}
+
+template <bool IsRequest>
+std::size_t MessageReader<IsRequest>::on_chunk_body_impl(std::uint64_t, View part, error_code&) {
+  body_.append(part.data(), part.size());
+  return part.size();
+}
+
+template class MessageReader<true>;
+template class MessageReader<false>;
+
+}  // namespace streampick::node
--- a/src/http1/transport.cpp
+++ b/src/http1/transport.cpp
@@ -1,23 +1,24 @@
 #include "http1/transport.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 #include <optional>
 #include <utility>
 
 #include "http1/protocol.h"
+#include "http1/reader.h"
 #include "net/log.h"
 
 namespace streampick::node {
 
 constexpr int kMostInterim = 16;
+constexpr std::size_t kChunk = 16 * 1024;
+constexpr Time kRested = 1'000'000;
 
-// Its socket is always waited on, so that a close is noticed at once, on an idle connection too. What
-// comes is read straight into a shared place: an idle connection holds no buffer, and what has come and is
-// not yet read can be told by looking.
+// Its socket is always read, so that a close is noticed at once, on an idle connection too. The loop's own
+// read is registered once and costs no system call but the read itself.
 class Upstream::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(Upstream& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {
@@ -47,10 +48,11 @@
   // Whatever has come since the last answer belongs to no request: noise, a second copy of the answer, or
   // the end. Taken for the next request's answer it would serve a client with another's.
   bool clean() {
+    if (!behind_.empty()) return false;
     char byte = 0;
     error_code error;
     socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block && buffer_.size() == 0;
+    return error == asio::error::would_block;
   }
 
   void start(Job job, Time now) {
@@ -59,20 +61,28 @@
     interim_ = 0;
     next_answer();
     const Message& message = *job_->message;
-    request_ = {};
-    request_.method(message.operation == Operation::write ? http::verb::put : http::verb::get);
-    request_.target(message.target);
-    request_.set(http::field::host, owner_->name_);
-    request_.set("X-Txn", message.txn);
-    request_.set("X-Remaining", seconds(job_->expires - now));
-    if (!message.idempotency_key.empty()) request_.set("Idempotency-Key", message.idempotency_key);
-    if (!message.content_type.empty()) request_.set(http::field::content_type, message.content_type);
-    request_.body() = beast::span<const char>(message.body.data(), message.body.size());
-    request_.prepare_payload();
-    serializer_.emplace(request_);
+    const bool put = message.operation == Operation::write;
+    head_out_ = put ? "PUT " : "GET ";
+    head_out_.append(message.target).append(" HTTP/1.1\r\nHost: ").append(owner_->name_);
+    head_out_.append("\r\nX-Txn: ").append(message.txn);
+    append_seconds(head_out_.append("\r\nX-Remaining: "), job_->expires - now);
+    if (!message.idempotency_key.empty())
+      head_out_.append("\r\nIdempotency-Key: ").append(message.idempotency_key);
+    if (!message.content_type.empty()) head_out_.append("\r\nContent-Type: ").append(message.content_type);
+    if (put || !message.body.empty())
+      append_number(head_out_.append("\r\nContent-Length: "), message.body.size());
+    head_out_ += "\r\n\r\n";
+    written_ = 0;
     writing_ = true;
-    http::async_write(socket_, *serializer_,
-                      [self = shared_from_this()](error_code error, std::size_t) { self->written(error); });
+    push();
+    wait();
+  }
+
+  // Idle for long: from here on its end is noticed. False: it has ended already.
+  bool rest() {
+    if (!waiting_ && !clean()) return false;
+    wait();
+    return true;
   }
 
   // Does not tell the owner.
@@ -89,6 +99,37 @@
   Time last_used = 0;
 
  private:
+  std::size_t length() const { return head_out_.size() + job_->message->body.size(); }
+  bool whole() const { return written_ == length(); }
+
+  // Writes what the socket takes; waits only when it takes no more.
+  void push() {
+    const std::string& body = job_->message->body;
+    while (!whole()) {
+      const std::size_t of_head = std::min(written_, head_out_.size()), of_body = written_ - of_head;
+      const std::array<asio::const_buffer, 2> rest = {
+          asio::buffer(head_out_.data() + of_head, head_out_.size() - of_head),
+          asio::buffer(body.data() + of_body, body.size() - of_body)};
+      error_code error;
+      written_ += socket_.write_some(rest, error);
+      if (error == asio::error::would_block) {
+        socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
+          if (self->owner_ == nullptr || !self->job_) return;
+          if (failed || self->broken_) return self->written(true);
+          self->push();
+        });
+        return;
+      }
+      if (error) {
+        // Not from within the call that sent it.
+        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->written(true); });
+        return;
+      }
+    }
+    writing_ = false;
+    if (early_) written(false);
+  }
+
   void dialled(bool made) {
     if (owner_ == nullptr || made_) return;
     timer_.cancel();
@@ -100,41 +141,33 @@
     }
     error_code error;
     socket_.non_blocking(true, error);
-    wait();
     owner_->dialling_.erase(self);
     owner_->came_free(self);
   }
 
   void next_answer() {
-    parser_.emplace();
-    parser_->body_limit(kLongestAnswer);
+    parser_.emplace(head_, body_, kLongestAnswer);
     lease_ = {};
     header_seen_ = false;
-    parser_->header_limit(kLongestHeader);
-    parser_->eager(true);
   }
 
   void wait() {
     if (owner_ == nullptr || waiting_) return;
     waiting_ = true;
-    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this()](error_code error) {
-      self->waiting_ = false;
-      if (!error) self->read();
-    });
+    socket_.async_read_some(asio::buffer(chunk_),
+                            [self = shared_from_this()](error_code error, std::size_t got) {
+                              self->waiting_ = false;
+                              if (self->owner_ != nullptr) self->read(error, got);
+                            });
   }
 
-  void read(int rounds = 8) {
-    if (owner_ == nullptr) return;
-    auto& scratch = owner_->links_.scratch;
-    error_code error;
-    const std::size_t got = socket_.read_some(asio::buffer(scratch), error);
-    if (error == asio::error::would_block) return wait();
+  void read(const error_code& error, std::size_t got) {
     if (!job_) return owner_->drop(shared_from_this());  // closed, or bytes that nobody asked for
     if (error) {
       // The head of an answer without a body says it all; a 200 that only the connection's end would mark
       // as whole may as well be cut short.
       const bool told = error == asio::error::eof && !writing_ && parser_->is_header_done() &&
-                        parser_->get().result_int() != 200 && parser_->get().result_int() >= 200;
+                        head_.status != 200 && head_.status >= 200;
       return told ? answered(false) : broke();
     }
     // An answer to a request that is not out yet is not an answer to it.
@@ -142,23 +175,24 @@
       early_ = true;
       return;
     }
-    const auto to = buffer_.prepare(got);
-    std::copy_n(scratch.data(), got, static_cast<char*>(to.data()));
-    buffer_.commit(got);
-    parse();
-    // A large body comes in many parts: while more of it is there, the loop need not be asked each time.
-    if (job_ && owner_ != nullptr && got == scratch.size() && rounds > 1) return read(rounds - 1);
-    wait();
+    const std::string_view bytes(chunk_.data(), got);
+    if (behind_.empty()) {
+      parse(bytes);
+    } else {
+      std::string all = std::exchange(behind_, {});
+      all += bytes;
+      parse(all);
+    }
+    if (job_) wait();
   }
 
-  void parse() {
-    while (buffer_.size() > 0) {
+  void parse(std::string_view bytes) {
+    while (!bytes.empty()) {
       error_code failed;
-      buffer_.consume(parser_->put(buffer_.data(), failed));
-      if (failed == http::error::need_more) break;
+      bytes.remove_prefix(parser_->read(bytes, failed));
       if (failed) return spoilt(failed.message());
       if (parser_->is_header_done() && !std::exchange(header_seen_, true)) {
-        if (!framing_is_plain(parser_->get())) return spoilt("length in doubt");
+        if (!head_.framing.plain(head_.version)) return spoilt("length in doubt");
         const std::size_t length = parser_->content_length().value_or(0);
         if (length > kLongestBody) {
           auto lease = owner_->links_.lease(length);
@@ -166,20 +200,21 @@
           lease_ = std::move(*lease);
         }
       }
-      if (!parser_->content_length() && parser_->get().body().size() > kLongestBody)
+      if (header_seen_ && !parser_->content_length() && body_.size() > kLongestBody)
         return spoilt("a long body of no stated length");
       if (parser_->is_done()) {
         // An interim answer stands before the real one. By its number: to Beast's own table not every one
         // of them has a name, and 103 would be taken for the answer.
-        if (parser_->get().result_int() / 100 == 1) {
+        if (head_.status / 100 == 1) {
           if (++interim_ > kMostInterim) return spoilt("interim answers without end");
           next_answer();
           continue;
         }
-        return answered(parser_->keep_alive() && buffer_.size() == 0);
+        return answered(parser_->keep_alive() && bytes.empty());
       }
+      if (!bytes.empty()) behind_ = bytes;  // part of a line
+      return;
     }
-    if (buffer_.size() == 0) buffer_.shrink_to_fit();
   }
 
   void spoilt(const std::string& why) {
@@ -188,18 +223,17 @@
   }
 
   void answered(bool keep) {
-    auto& message = parser_->get();
-    const unsigned status = message.result_int();
+    const unsigned status = head_.status;
     Outcome outcome = Outcome::error;
     Answer answer;
     if (status == 200) {
       outcome = Outcome::served;
-      answer.content_type = std::string(message[http::field::content_type]);
-      answer.body = std::move(message.body());
+      answer.content_type = head_.content_type.value;
+      answer.body = std::move(body_);
       answer.lease = std::move(lease_);
     } else if (status == 404) {
       outcome = Outcome::miss;
-    } else if ((status == 503 || status == 504) && message["X-Turned-Away"] == "1") {
+    } else if ((status == 503 || status == 504) && head_.turned_away.value == "1") {
       // Without the header the server may have run it: a bare 503 must never free a write to be resent.
       outcome = Outcome::full;
     } else if (status == 400) {
@@ -214,14 +248,13 @@
   // its end. To call it never sent too early would let a write run twice.
   void broke() {
     broken_ = true;
-    if (!writing_) finish(serializer_->is_done() ? Outcome::reset : Outcome::connect_failed, {}, false);
+    if (!writing_) finish(whole() ? Outcome::reset : Outcome::connect_failed, {}, false);
   }
 
-  void written(error_code error) {
+  void written(bool error) {
     writing_ = false;
     if (owner_ == nullptr || !job_) return;
-    if (error || broken_)
-      return finish(serializer_->is_done() ? Outcome::reset : Outcome::connect_failed, {}, false);
+    if (error || broken_) return finish(whole() ? Outcome::reset : Outcome::connect_failed, {}, false);
     if (early_) spoilt("an answer before its request");
   }
 
@@ -230,12 +263,10 @@
     Upstream& owner = *owner_;
     const AttemptId attempt = job_->attempt;
     job_.reset();
-    parser_.reset();
     lease_ = {};
+    body_ = {};
     if (keep) {
       last_used = owner.clock_.now();
-      buffer_.shrink_to_fit();
-      wait();
       owner.busy_.erase(self);
       owner.came_free(self);
     } else {
@@ -247,15 +278,18 @@
   Upstream* owner_;  // none once it is closed
   tcp::socket socket_;
   asio::steady_timer timer_;  // of the dial
-  beast::flat_buffer buffer_;
+  std::string behind_;        // came, and is not read yet: part of a line
   std::optional<Job> job_;
-  http::request<http::span_body<const char>> request_;
-  std::optional<http::request_serializer<http::span_body<const char>>> serializer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::string head_out_;     // of the request; its body is the job's
+  std::size_t written_ = 0;  // of both
+  ResponseHead head_;
+  std::string body_;
+  std::optional<ResponseReader> parser_;
   Lease lease_;
   int interim_ = 0;
   bool header_seen_ = false;
   bool made_ = false, waiting_ = false, writing_ = false, broken_ = false, early_ = false;
+  std::array<char, kChunk> chunk_;
 };
 
 Upstream::Upstream(asio::io_context& io, Clock& clock, Links& links, Outcomes& outcomes, std::string name)
@@ -372,7 +406,8 @@
 
 void Upstream::close_idle(Time unused_since) {
   std::erase_if(idle_, [&](const Link& link) {
-    if (link->last_used > unused_since) return false;
+    const bool young = link->last_used + kRested > clock_.now();
+    if (link->last_used > unused_since && (young || link->rest())) return false;
     link->close();
     return true;
   });
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -165,7 +165,17 @@
     add_timer(now_ + kTick, Wake::tick);
   }
 
-  Time next_wakeup() const { return timers_.empty() ? kNever : timers_.top().at; }
+  // What has ended by itself is nothing to wake for.
+  Time next_wakeup() {
+    while (!timers_.empty() && stale(timers_.top())) timers_.pop();
+    return timers_.empty() ? kNever : timers_.top().at;
+  }
+  bool stale(const Timer& timer) const {
+    if (timer.wake > Wake::entry) return false;
+    const Open& open = open_[timer.slot];
+    return open.generation != timer.generation || open.over || open.streaming ||
+           (timer.wake == Wake::entry && !open.held);
+  }
 
   const RequestClass& class_of(const Open& open) const { return config_.classes[open.request.request_class]; }
   std::array<Health*, 3> healths(Server& server) { return {&server.health, server.zone, server.cell}; }
@@ -566,15 +576,12 @@
     while (!timers_.empty() && timers_.top().at <= now_) {
       const Timer timer = timers_.top();
       timers_.pop();
-      if (timer.wake <= Wake::entry) {
-        const Open& open = open_[timer.slot];
-        if (open.generation != timer.generation || open.over || open.streaming) continue;
-      }
+      if (stale(timer)) continue;
       switch (timer.wake) {
         case Wake::copy: launch_copy(timer.slot); break;
         case Wake::entry:
-          // Only what still waits: a read that got in must not be sent to the origin by this timer.
-          if (!std::exchange(open_[timer.slot].held, false)) break;
+          // It still waits: of a read that got in this timer is stale.
+          open_[timer.slot].held = false;
           // The caches have no room, the origin has: one read of what would be refused.
           origin_has_room() ? ask_origin(timer.slot) : give_up(timer.slot);
           break;
