--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -16,7 +16,7 @@
 
 Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings)
     : io_(io), clock_(clock), names_(settings.settings.names), summary_timer_(io) {
-  begin(settings, 0);
+  begin(settings);
 }
 
 #ifdef STREAMPICK_WITH_OPTIONS
@@ -35,22 +35,26 @@
       if (kind.effect == Effect::keyed) kind.effect = Effect::unsafe;
   }
   const auto& front = options.resp.front;
-  begin(own, front ? front->settings.most_clients : 0);
+  begin(own);
   if (!front) return;
-  resp_ = std::make_unique<resp::RespFront>(io_, clock_, names_, *engine_, front->settings);
+  resp_ = std::make_unique<resp::RespFront>(io_, clock_, names_, *engine_, front->settings, &descriptors_);
   engine_->add(*resp_);
 #else
-  begin(settings, 0);
+  begin(settings);
 #endif
 }
 #endif
 
-void Host::begin(const NodeSettings& settings, std::size_t other_clients) {
-  const std::size_t each = descriptors_each(settings);
-  links_.most_connections = each;
+void Host::begin(const NodeSettings& settings) {
+  descriptors_ = overload::Descriptors(descriptor_limits(settings));
+  links_.descriptors = &descriptors_;
   links_.most_large = settings.memory_mb * (1024 * 1024 / 4);
   links_.dial_time_out = settings.settings.config.dial_time_out;
-  links_.free_a_connection = [this] { engine_->free_a_connection(); };
+  links_.free_a_connection = [this] {
+    if (engine_->free_a_connection()) return;
+    // Clients hold what servers would have had: one that can be spared gives way.
+    if (http_ && descriptors_.borrows(overload::Descriptors::Side::clients)) http_->give_one_back();
+  };
   const Settings& told = settings.settings;
   engine_ =
       std::make_unique<Engine>(clock_, EngineSettings{told.config, told.seed, told.drain_grace},
@@ -59,8 +63,7 @@
   discovery_ = std::make_unique<Discovery>(io_, names_, settings.discovery, settings.known.revision,
                                            !must_ask, told.seed, *engine_);
   engine_->start(*discovery_, settings.known);
-  http_ = std::make_unique<Clients>(io_, clock_, names_, *engine_, settings.listen,
-                                    each - std::min(each, other_clients));
+  http_ = std::make_unique<Clients>(io_, clock_, names_, *engine_, settings.listen, descriptors_);
   engine_->add(*http_);
   if (!must_ask) discovery_->watch();
   every_ten_seconds();
@@ -94,8 +97,7 @@
 
 std::string Host::summary() const {
   std::string out = engine_->summary(" dials=" + std::to_string(links_.dials) +
-                                     " open=" + std::to_string(links_.connections) +
-                                     " clients=" + std::to_string(http_->open()));
+                                     " open=" + std::to_string(links_.connections) + " " + http_->summary());
 #ifdef STREAMPICK_WITH_RESP
   if (resp_) out += " resp: " + resp_->summary();
   if (resp_servers_) out += " resp servers: " + resp_counts_.summary();
--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -43,16 +43,18 @@
   const Engine::Counts& counts() const { return engine_->counts(); }
   std::size_t servers() const { return engine_->servers(); }  // the most that were known at a time
   Links& links() { return links_; }
+  const overload::Descriptors& descriptors() const { return descriptors_; }
   std::string summary() const;
 
  private:
   std::unique_ptr<Transport> make(const std::string& name, std::uint32_t kind) override;
-  void begin(const NodeSettings& settings, std::size_t other_clients);
+  void begin(const NodeSettings& settings);
   void every_ten_seconds();
 
   boost::asio::io_context& io_;
   Clock& clock_;
   Names names_;
+  overload::Descriptors descriptors_;
   Links links_;
   std::unique_ptr<Engine> engine_;
   std::unique_ptr<Discovery> discovery_;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -65,7 +65,8 @@
     host.drain([&] { done = true; });
   });
   while (!done) {
-    // Not run_one and then poll: that would ask the kernel once more after each batch, most often for nothing.
+    // Not run_one and then poll: that would ask the kernel once more after each batch, most often for
+    // nothing.
     clock.next_batch();
     io.run_one();
   }
--- a/src/daemon/node_settings.cpp
+++ b/src/daemon/node_settings.cpp
@@ -54,8 +54,8 @@
 
 }  // namespace
 
-std::size_t descriptors_each(const NodeSettings& settings) {
-  return (std::max(settings.sockets, kLeastDescriptors) - kOtherDescriptors) / 2;
+overload::Descriptors::Limits descriptor_limits(const NodeSettings& settings) {
+  return overload::Descriptors::thirds(std::max(settings.sockets, kLeastDescriptors) - kOtherDescriptors);
 }
 
 NodeSettings parse_settings(const std::string& text) {
--- a/src/daemon/node_settings.h
+++ b/src/daemon/node_settings.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "engine/roster.h"
+#include "overload/descriptors.h"
 #include "settings.h"
 
 namespace streampick::node {
@@ -20,9 +21,9 @@
   MemberList known;
 };
 
-// How many descriptors clients have, and servers: half each, for a request needs one of either, and now and
-// then a copy.
-std::size_t descriptors_each(const NodeSettings& settings);
+// The descriptors that connections may have, of clients and to servers: all but those of standard streams,
+// listeners, discovery and the loop. A third each side has for itself.
+overload::Descriptors::Limits descriptor_limits(const NodeSettings& settings);
 
 // Both throw std::runtime_error with one line that says what is wrong.
 NodeSettings load_settings(const std::string& path);
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -26,7 +26,8 @@
 
 void resolve([[maybe_unused]] Options& options, [[maybe_unused]] const NodeSettings& node) {
 #ifdef STREAMPICK_WITH_RESP
-  resp::resolve(options.resp, node.settings, options.file, descriptors_each(node));
+  const auto limits = descriptor_limits(node);
+  resp::resolve(options.resp, node.settings, options.file, limits.total - limits.servers_floor);
 #endif
 }
 
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -23,7 +23,7 @@
 // A connection that has not sent its first whole request this long after it was accepted, or a later one
 // this long after its first byte, is owed an end within 3 s.
 constexpr Time kWholeRequest = 2'300 * kMs;
-constexpr Time kIdle = 10 * kSecond, kStuck = 10 * kSecond, kLinger = kSecond;
+constexpr Time kStuck = 10 * kSecond, kLinger = kSecond;
 constexpr Time kYoung = 50 * kMs;  // its first request may still be on its way
 constexpr std::chrono::milliseconds kSweepEvery{100};
 
@@ -191,7 +191,9 @@
     const RequestId gone = state_ == State::asked ? std::exchange(request_, 0) : 0;
     const auto self = shared_from_this();
     owner.closed(place_, state_);
-    if (gone != 0) owner.requests_.withdrawn(gone);
+    if (gone == 0) return;
+    ++owner.counts_.left;
+    owner.requests_.withdrawn(gone);
   }
   void detach() {
     owner_ = nullptr;
@@ -306,9 +308,14 @@
   }
 
   void answer(Response reply) {
+    if (reply.status >= 400 && reply.status < 500) ++owner_->counts_.unread;
     enter(State::writing);
     request_ = 0;
     last_ = last_ || owner_->draining_;
+    if (!last_ && !owner_->rules_.keep(++answers_, owner_->held())) {
+      last_ = true;
+      ++owner_->counts_.once;
+    }
     out_head_ = head_.version == 10 ? "HTTP/1.0 " : "HTTP/1.1 ";
     append_number(out_head_, reply.status);
     out_head_.append(" ").append(reason(reply.status));
@@ -385,7 +392,7 @@
   Lease lease_;  // of the answer's body
   RequestId request_ = 0;
   Time since_;  // the last change of state
-  std::size_t discarded_ = 0, written_ = 0;
+  std::size_t discarded_ = 0, written_ = 0, answers_ = 0;
   Queue::iterator place_;
   State state_ = State::fresh;
   bool waiting_ = false, last_ = false, told_to_go_on_ = false, checked_ = false;
@@ -393,13 +400,14 @@
 };
 
 Clients::Clients(asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
-                 const tcp::endpoint& listen, std::size_t most_open)
+                 const tcp::endpoint& listen, overload::Descriptors& descriptors)
     : clock_(clock),
       names_(names),
       requests_(requests),
       listener_(io, listen, *this),
       sweep_(io),
-      most_open_(most_open) {
+      descriptors_(descriptors),
+      rules_(descriptors.total()) {
   listener_.go_on();
   sweep();
 }
@@ -411,7 +419,9 @@
 
 void Clients::take(tcp::socket socket) {
   const auto session = std::make_shared<Session>(*this, std::move(socket));
+  ++counts_.accepted;
   ++open_;
+  descriptors_.take(kSide);
   Queue& fresh = queue(State::fresh);
   session->placed(fresh.insert(fresh.end(), session));
   session->begin();
@@ -420,10 +430,11 @@
 // Connections that say nothing come by hundreds and must not push out clients that ask: what has its
 // answer goes first, then what never asked, oldest first. While some of those are too young to tell, the
 // next ones wait; only when there are none does a client between two requests have to go.
-bool Clients::make_room() {
+bool Clients::spare_one() {
   const auto end_first = [this](State state) {
     for (const auto& session : queue(state)) {
       if (session->unread()) continue;
+      ++counts_.spared;
       session->close();
       return true;
     }
@@ -431,6 +442,7 @@
   };
   if (!queue(State::lingering).empty()) {
     const auto session = queue(State::lingering).front();
+    ++counts_.spared;
     session->close();
     return true;
   }
@@ -440,13 +452,33 @@
   if (!fresh.empty() && now - fresh.front()->since() >= kYoung && end_first(State::fresh)) return true;
   // A few young ones must not stop a crowd that asks once and stays: what has been idle for long gives way.
   if (!idle.empty() && now - idle.front()->since() >= kSecond && end_first(State::idle)) return true;
-  if (fresh.size() * 4 > most_open_) return false;
+  if (fresh.size() * 4 > descriptors_.most(kSide)) return false;
   return end_first(State::idle) || end_first(State::begun);
 }
 
 void Clients::closed(Queue::iterator place, State state) {
   queue(state).erase(place);
-  if (--open_ + 1 == most_open_) listener_.go_on();
+  --open_;
+  descriptors_.give(kSide);
+  listener_.go_on();
+}
+
+std::size_t Clients::held() const {
+  return queue(State::idle).size() + queue(State::begun).size() + queue(State::asked).size() +
+         queue(State::writing).size();
+}
+
+bool Clients::has_place() {
+  if (!is_full() || spare_one()) return true;
+  ++counts_.waited;
+  return false;
+}
+
+std::string Clients::summary() const {
+  return "clients=" + std::to_string(open_) + " accepted=" + std::to_string(counts_.accepted) +
+         " spared=" + std::to_string(counts_.spared) + " expired=" + std::to_string(counts_.expired) +
+         " waited=" + std::to_string(counts_.waited) + " unread=" + std::to_string(counts_.unread) +
+         " once=" + std::to_string(counts_.once) + " left=" + std::to_string(counts_.left);
 }
 
 void Clients::drain() {
@@ -461,14 +493,15 @@
 
 void Clients::sweep() {
   const Time now = clock_.now();
-  constexpr std::array<std::pair<State, Time>, 5> limits = {{{State::fresh, kWholeRequest},
-                                                             {State::begun, kWholeRequest},
-                                                             {State::idle, kIdle},
-                                                             {State::writing, kStuck},
-                                                             {State::lingering, kLinger}}};
+  const std::array<std::pair<State, Time>, 5> limits = {{{State::fresh, kWholeRequest},
+                                                         {State::begun, kWholeRequest},
+                                                         {State::idle, rules_.idle(held())},
+                                                         {State::writing, kStuck},
+                                                         {State::lingering, kLinger}}};
   for (const auto& [state, longest] : limits)
     while (!queue(state).empty() && now - queue(state).front()->since() > longest) {
       const auto session = queue(state).front();
+      ++counts_.expired;
       session->expire();
     }
   sweep_.expires_after(kSweepEvery);
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -14,15 +14,28 @@
 #include "engine/front.h"
 #include "net/clock.h"
 #include "net/listener.h"
+#include "overload/connections.h"
+#include "overload/descriptors.h"
 #include "settings.h"
 
 namespace streampick::node {
 
 class Clients final : public Front, private Listener::Owner {
  public:
+  // Since the start.
+  struct Counts {
+    std::uint64_t accepted = 0;
+    std::uint64_t spared = 0;   // connections ended to make room for others
+    std::uint64_t expired = 0;  // ... and that stood still for too long
+    std::uint64_t waited = 0;   // times that the next connection had to wait for a place
+    std::uint64_t unread = 0;   // answers 4xx: what can't be read or is not allowed
+    std::uint64_t once = 0;      // ended behind their first answer, in a crowd
+    std::uint64_t left = 0;     // clients that ended a connection with a request in work
+  };
+
   // Throws boost::system::system_error when the address can't be listened on.
   Clients(boost::asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
-          const boost::asio::ip::tcp::endpoint& listen, std::size_t most_open);
+          const boost::asio::ip::tcp::endpoint& listen, overload::Descriptors& descriptors);
   ~Clients() override;
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
@@ -33,6 +46,10 @@
   void stop_accepting() override;
   std::size_t unanswered() const override;
   std::size_t open() const override { return open_; }
+  const Counts& counts() const { return counts_; }
+  std::string summary() const;  // the counts, for the log
+  // Ends a connection that can best be spared, for one that is wanted elsewhere; false: there is none.
+  bool give_one_back() { return spare_one(); }
 
  private:
   class Session;
@@ -43,11 +60,13 @@
 
   Queue& queue(State state) { return queues_[static_cast<std::size_t>(state)]; }
   const Queue& queue(State state) const { return queues_[static_cast<std::size_t>(state)]; }
-  bool has_place() override { return !is_full() || make_room(); }
-  bool is_full() const override { return open_ >= most_open_; }
+  bool has_place() override;
+  bool is_full() const override { return !descriptors_.has_room(kSide); }
   void take(boost::asio::ip::tcp::socket socket) override;
-  void out_of_descriptors() override { make_room(); }
-  bool make_room();
+  void out_of_descriptors() override { spare_one(); }
+  bool spare_one();
+  // Connections with a request in work, or between two.
+  std::size_t held() const;
   void closed(Queue::iterator place, State state);
   void sweep();  // ends what has stood still for too long
 
@@ -56,7 +75,11 @@
   Requests& requests_;
   Listener listener_;
   boost::asio::steady_timer sweep_;
-  std::size_t most_open_, open_ = 0;
+  static constexpr auto kSide = overload::Descriptors::Side::clients;
+  overload::Descriptors& descriptors_;
+  overload::ConnectionRules rules_;
+  std::size_t open_ = 0;
+  Counts counts_;
   std::array<Queue, 6> queues_;
   bool draining_ = false;
 };
--- a/src/http1/transport.cpp
+++ b/src/http1/transport.cpp
@@ -22,7 +22,7 @@
 class Upstream::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(Upstream& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {
-    ++owner.links_.connections;
+    owner.links_.opened();
   }
   ~Connection() = default;
   Connection(const Connection&) = delete;
@@ -88,7 +88,7 @@
   // Does not tell the owner.
   void close() {
     if (owner_ == nullptr) return;
-    --owner_->links_.connections;
+    owner_->links_.closed();
     owner_ = nullptr;
     error_code ignored;
     socket_.close(ignored);
@@ -332,8 +332,8 @@
     return;
   }
   if (waiting_.size() >= dialling_.size()) {
-    if (links_.connections >= links_.most_connections) links_.free_a_connection();
-    if (links_.connections >= links_.most_connections) {
+    if (!links_.has_room()) links_.free_a_connection();
+    if (!links_.has_room()) {
       log("no descriptor left for a connection to " + name_);
       return end_soon(attempt, Outcome::connect_failed);
     }
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "engine/message.h"
+#include "overload/descriptors.h"
 #include "streampick/router.h"
 
 namespace streampick::node {
@@ -26,10 +27,24 @@
     return Lease(large, bytes);
   }
 
-  std::size_t connections = 0, most_connections = 0;
+  std::size_t connections = 0;
+  std::size_t most_connections = 0;              // where nothing is shared with clients
+  overload::Descriptors* descriptors = nullptr;  // ... and where it is, the budget
+  bool has_room() const {
+    return descriptors != nullptr ? descriptors->has_room(overload::Descriptors::Side::servers)
+                                  : connections < most_connections;
+  }
+  void opened() {
+    ++connections;
+    if (descriptors != nullptr) descriptors->take(overload::Descriptors::Side::servers);
+  }
+  void closed() {
+    --connections;
+    if (descriptors != nullptr) descriptors->give(overload::Descriptors::Side::servers);
+  }
   Time dial_time_out = 0;
   std::uint64_t dials = 0;
-  // Called when the descriptors for servers are used up: closes an idle connection somewhere.
+  // Called when the descriptors for servers are used up: closes what is idle, to a server or of a client.
   std::function<void()> free_a_connection = [] {};
 };
 
--- a/src/overload/descriptors.h
+++ b/src/overload/descriptors.h
@@ -22,7 +22,8 @@
   // A third of the descriptors each side keeps; the rest is lent.
   static Limits thirds(std::size_t total) { return {total, total / 3, total / 3}; }
 
-  explicit Descriptors(const Limits& limits = {}) : limits_(limits) {}
+  Descriptors() = default;
+  explicit Descriptors(const Limits& limits) : limits_(limits) {}
 
   std::size_t total() const { return limits_.total; }
   std::size_t floor(Side side) const {
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -125,6 +125,7 @@
     counted_ = 0;
     const auto self = shared_from_this();
     owner.sessions_.erase(place_);
+    if (owner.descriptors_ != nullptr) owner.descriptors_->give(overload::Descriptors::Side::clients);
     const auto open = std::exchange(open_, {});
     for (const auto& [tag, request] : open) owner.requests_.withdrawn(request);
   }
@@ -379,12 +380,14 @@
 };
 
 RespFront::RespFront(asio::io_context& io, node::TimeSource& time, const Names& names,
-                     node::Requests& requests, const FrontSettings& settings)
+                     node::Requests& requests, const FrontSettings& settings,
+                     overload::Descriptors* descriptors)
     : io_(io),
       time_(time),
       names_(names),
       requests_(requests),
       settings_(settings),
+      descriptors_(descriptors),
       listener_(io, settings.listen, *this),
       sweep_(io),
       scratch_(kScratch),
@@ -417,6 +420,7 @@
     return;
   }
   ++counts_.accepted;
+  if (descriptors_ != nullptr) descriptors_->take(overload::Descriptors::Side::clients);
   const auto session = std::make_shared<Session>(*this, std::move(socket), ++last_session_);
   session->placed(sessions_.insert(sessions_.end(), session));
   session->go_on();
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -13,6 +13,7 @@
 #include "engine/front.h"
 #include "engine/time.h"
 #include "net/listener.h"
+#include "overload/descriptors.h"
 #include "resp/conversation.h"
 #include "settings.h"
 
@@ -37,7 +38,7 @@
 
   // Throws boost::system::system_error when the address can't be listened on.
   RespFront(boost::asio::io_context& io, node::TimeSource& time, const Names& names, node::Requests& requests,
-            const FrontSettings& settings);
+            const FrontSettings& settings, overload::Descriptors* descriptors = nullptr);
   ~RespFront() override;
   RespFront(const RespFront&) = delete;
   RespFront& operator=(const RespFront&) = delete;
@@ -55,7 +56,10 @@
   using Sessions = std::list<std::shared_ptr<Session>>;
 
   bool has_place() override { return true; }  // whoever finds none is told so
-  bool is_full() const override { return sessions_.size() >= settings_.most_clients; }
+  bool is_full() const override {
+    return sessions_.size() >= settings_.most_clients ||
+           (descriptors_ != nullptr && !descriptors_->has_room(overload::Descriptors::Side::clients));
+  }
   void take(boost::asio::ip::tcp::socket socket) override;
   void out_of_descriptors() override { make_room(); }
   bool make_room();
@@ -70,6 +74,7 @@
   const Names& names_;
   node::Requests& requests_;
   FrontSettings settings_;
+  overload::Descriptors* descriptors_;  // shared with other fronts; none: only its own limit holds
   node::Listener listener_;
   boost::asio::steady_timer sweep_;
   Sessions sessions_;
--- a/src/resp/transport.cpp
+++ b/src/resp/transport.cpp
@@ -37,7 +37,7 @@
         owner_(&owner),
         socket_(owner.io_),
         timer_(owner.io_) {
-    ++owner.links_.connections;
+    owner.links_.opened();
   }
 
   void dial(const tcp::endpoint& to, Time time_out) {
@@ -103,7 +103,7 @@
   // Does not tell the owner.
   void close() {
     if (owner_ == nullptr) return;
-    --owner_->links_.connections;
+    owner_->links_.closed();
     owner_ = nullptr;
     error_code ignored;
     socket_.close(ignored);
@@ -275,8 +275,8 @@
 }
 
 bool RespTransport::dial() {
-  if (links_.connections >= links_.most_connections) links_.free_a_connection();
-  if (links_.connections >= links_.most_connections) return false;
+  if (!links_.has_room()) links_.free_a_connection();
+  if (!links_.has_room()) return false;
   ++links_.dials;
   const auto link = std::make_shared<Connection>(*this);
   connections_.push_back(link);
