--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -15,6 +15,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "policy/plan_index.h"
+
 namespace streampick {
 namespace {
 
@@ -23,6 +25,7 @@
 
 // Plan and execution.
 constexpr double kBound = 1.25;          // in-flight bound, as a multiple of the fair share
+constexpr std::uint64_t kLeaves = 8;     // parts of a large fleet that a key tries for a server with room
 constexpr double kBoundFloor = 2;        // ... and never under this: small counts are all noise
 constexpr double kDelayPerAim = 0.4;     // the constant delay, as a share of the class's aim
 constexpr std::uint32_t kMaxCopies = 2;  // N, the most extra copies of one request
@@ -39,6 +42,7 @@
 constexpr double kSpeedRange = 4;     // ... within this factor of the mean
 constexpr double kKindPrior = 0.02;   // of all answers: how many a kind needs to be told apart
 constexpr Time kReweigh = kSecond;
+constexpr std::size_t kLookAround = 512;   // servers of a large fleet, each tick
 constexpr Time kKeepSeldom = kSecond / 2;  // an idle connection that costs is closed after this ...
 constexpr Time kSeldom = 30 * kSecond;     // ... where its next use is further away than this
 constexpr Time kKeepLeast = kSecond / 50;
@@ -97,11 +101,13 @@
   Health health, *zone = nullptr, *cell = nullptr;
   // Decayed sums of what answers took and of what they were expected to take.
   double took = 0, expected = 0;
-  double weight = 1;  // nominal x learned speed; slow start comes on top
+  double weight = 1;   // nominal x learned speed; slow start comes on top
+  double counted = 0;  // its part of healthy_
   Time full_until = 0;
   int spoilt = 0;    // attempts in a row that a bad answer or the connection's end spoilt
   Time linked = 0;   // when its connection was last in use; 0: none is open
-  bool off = false;  // while picking
+  bool off = false;  // when it was last looked at
+  bool planned = false;
 };
 
 struct Attempt {
@@ -216,6 +222,9 @@
 
   std::vector<Server> servers_;
   std::vector<ServerId> plan_;  // listed, ready cache servers, by identity
+  policy::PlanIndex index_;     // the same, to find a key's few among many
+  double healthy_ = 0;          // weight of those that are well, each as it was when last looked at
+  std::size_t next_look_ = 0;   // where in a large plan the next tick goes on
   ServerId origin_ = kNone;
   int cache_in_flight_ = 0;
   std::map<std::uint32_t, Health> zones_, cells_;  // ordered, and its nodes stay where they are
@@ -272,38 +281,77 @@
     return config_.cold_share + (1 - config_.cold_share) * warm;
   }
 
+  static double rank(std::uint64_t hash, double weight) { return -weight / std::log(to_unit(mix(hash))); }
+
+  void look_at(Server& server) {
+    server.off = false;
+    for (const Health* health : healths(server)) server.off |= off(*health);
+    const double now = server.off ? 0 : server.weight * ramp(server);
+    healthy_ += now - std::exchange(server.counted, now);
+  }
+
+  void plan(ServerId id) {
+    Server& server = servers_[id];
+    server.planned = true;
+    plan_.insert(place_of(id), id);
+    index_.insert({server.member.identity, id, std::max(1e-3, server.weight)});
+    look_at(server);
+  }
+  void unplan(ServerId id) {
+    Server& server = servers_[id];
+    server.planned = false;
+    healthy_ -= std::exchange(server.counted, 0);
+    plan_.erase(place_of(id));
+    index_.erase({server.member.identity, id, 0});
+  }
+  std::vector<ServerId>::iterator place_of(ServerId id) {
+    const auto of = [this](ServerId one) { return std::pair(servers_[one].member.identity, one); };
+    return std::lower_bound(plan_.begin(), plan_.end(), id,
+                            [&](ServerId a, ServerId b) { return of(a) < of(b); });
+  }
+  void replan(ServerId id) {
+    const bool should = in_plan(servers_[id]);
+    if (should != servers_[id].planned) should ? plan(id) : unplan(id);
+  }
+
   ServerId pick(const Open& open, bool for_copy) {
     const std::uint64_t key = open.request.has_key ? open.request.key : open.request.id;
-    double healthy = 0;
-    for (const ServerId id : plan_) {
-      Server& server = servers_[id];
-      server.off = false;
-      for (const Health* health : healths(server)) server.off |= off(*health);
-      if (!server.off) healthy += server.weight * ramp(server);
+    // In a large fleet the sum is kept step by step; in a small one it is exact at each pick.
+    if (!index_.split()) {
+      healthy_ = 0;
+      for (const ServerId id : plan_) {
+        servers_[id].counted = 0;
+        look_at(servers_[id]);
+      }
     }
     const double chance = draw();
     ServerId best = kNone, fallback = kNone;
     double best_score = -1, fallback_score = -1;
-    for (const ServerId id : plan_) {
-      const Server& server = servers_[id];
-      bool tried = false;
-      for (std::uint32_t i = 0; i < open.sent; ++i) tried |= open.attempts[i].server == id;
-      if (tried || server.full_until > now_) continue;
-      const double warm = ramp(server);
-      // A starting server gets part of the first attempts on its keys, by chance: so a popular key spends
-      // no more of what it can do than its part, and no key moves again while it warms up.
-      if (warm < 1 && (for_copy || open.sent > 0 || chance >= warm)) continue;
-      const double weight = std::max(1e-3, server.weight);
-      const double bound =
-          std::max(std::ceil(kBound * (cache_in_flight_ + 1) * weight / std::max(healthy, 1e-3)),
-                   warm < 1 ? 1.0 : kBoundFloor);
-      double score = -weight / std::log(to_unit(mix(key ^ server.member.identity)));
-      const bool bad = server.off && healthy > 0;
-      if (!bad && server.in_flight < bound) {
-        if (score > best_score) best = id, best_score = score;
-      } else if (warm >= 1) {
-        const double spare = weight / (server.in_flight + 1) * (bad ? 1e-3 : 1);
-        if (spare > fallback_score) fallback = id, fallback_score = spare;
+    for (std::uint64_t leaf = 0; leaf < (index_.split() ? kLeaves : 1) && best == kNone; ++leaf) {
+      const std::uint64_t own = leaf == 0 ? key : mix(key + leaf);
+      for (const policy::PlanIndex::Entry& entry : index_.leaf(own, rank)) {
+        const ServerId id = entry.id;
+        Server& server = servers_[id];
+        if (index_.split()) look_at(server);
+        bool tried = false;
+        for (std::uint32_t i = 0; i < open.sent; ++i) tried |= open.attempts[i].server == id;
+        if (tried || server.full_until > now_) continue;
+        const double warm = ramp(server);
+        // A starting server gets part of the first attempts on its keys, by chance: so a popular key spends
+        // no more of what it can do than its part, and no key moves again while it warms up.
+        if (warm < 1 && (for_copy || open.sent > 0 || chance >= warm)) continue;
+        const double weight = std::max(1e-3, server.weight);
+        const double bound =
+            std::max(std::ceil(kBound * (cache_in_flight_ + 1) * weight / std::max(healthy_, 1e-3)),
+                     warm < 1 ? 1.0 : kBoundFloor);
+        const double score = rank(own ^ server.member.identity, weight);
+        const bool bad = server.off && healthy_ > 0;
+        if (!bad && server.in_flight < bound) {
+          if (score > best_score) best = id, best_score = score;
+        } else if (warm >= 1) {
+          const double spare = weight / (server.in_flight + 1) * (bad ? 1e-3 : 1);
+          if (spare > fallback_score) fallback = id, fallback_score = spare;
+        }
       }
     }
     return best != kNone ? best : fallback;
@@ -593,7 +641,7 @@
         case Wake::tick:
           add_timer(now_ + kTick, Wake::tick);
           adjust_limit();
-          if (now_ - last_reweigh_ >= kReweigh) reweigh();
+          look_around();
           break;
         case Wake::idle: close_idle(); break;
         case Wake::watch: watch(); break;
@@ -697,31 +745,58 @@
     add_timer(idle_timer_, Wake::idle);
   }
 
-  void reweigh() {
-    last_reweigh_ = now_;
-    // By kind: a server's own answers are few and would set each router's plans apart.
+  // What servers took, and of what they were expected to take, by kind: a server's own answers are few and
+  // would set each router's plans apart.
+  struct Speeds {
     std::map<std::uint32_t, std::array<double, 2>> kinds;
     double took = 0, expected = 0, mean_weight = 0;
-    for (const ServerId id : plan_) {
-      const Server& server = servers_[id];
-      mean_weight += std::max(1e-3, server.member.weight) / static_cast<double>(plan_.size());
-      kinds[server.member.kind][0] += server.took;
-      kinds[server.member.kind][1] += server.expected;
-      took += server.took;
-      expected += server.expected;
-    }
-    if (expected <= 0) return;
-    for (const ServerId id : plan_) {
-      Server& server = servers_[id];
-      const auto& kind = kinds[server.member.kind];
-      const double mean = expected / took;
-      const double unit = kKindPrior * expected;
-      const double speed = (kind[1] + unit) / (kind[0] + unit / mean) / mean;
-      // The listed weight may tell the same: the two are averaged, not multiplied.
-      const double listed = std::max(1e-3, server.member.weight) / mean_weight;
-      const double weight = std::pow(listed, 1 - kSpeedPower) *
-                            std::pow(std::clamp(speed, 1 / kSpeedRange, kSpeedRange), kSpeedPower);
-      if (std::abs(weight / server.weight - 1) > 0.1) server.weight = weight;
+  };
+  Speeds speeds_, adding_;  // of the last walk over the plan, and of the one under way
+
+  void count_speed(Speeds& to, const Server& server) const {
+    to.mean_weight += std::max(1e-3, server.member.weight) / static_cast<double>(plan_.size());
+    to.kinds[server.member.kind][0] += server.took;
+    to.kinds[server.member.kind][1] += server.expected;
+    to.took += server.took;
+    to.expected += server.expected;
+  }
+
+  void reweigh(const Speeds& speeds, ServerId id) {
+    const auto found = speeds.kinds.find(servers_[id].member.kind);
+    if (speeds.expected <= 0 || found == speeds.kinds.end()) return;
+    Server& server = servers_[id];
+    const double mean = speeds.expected / speeds.took;
+    const double unit = kKindPrior * speeds.expected;
+    const double speed = (found->second[1] + unit) / (found->second[0] + unit / mean) / mean;
+    // The listed weight may tell the same: the two are averaged, not multiplied.
+    const double listed = std::max(1e-3, server.member.weight) / speeds.mean_weight;
+    const double weight = std::pow(listed, 1 - kSpeedPower) *
+                          std::pow(std::clamp(speed, 1 / kSpeedRange, kSpeedRange), kSpeedPower);
+    if (std::abs(weight / server.weight - 1) <= 0.1) return;
+    server.weight = weight;
+    index_.set_weight(server.member.identity, id, std::max(1e-3, weight));
+  }
+
+  // A small plan at once, each second; a large one in parts, so that no tick walks over all.
+  void look_around() {
+    if (!index_.split()) {
+      if (now_ - last_reweigh_ < kReweigh) return;
+      last_reweigh_ = now_;
+      Speeds speeds;
+      for (const ServerId id : plan_) count_speed(speeds, servers_[id]);
+      for (const ServerId id : plan_) reweigh(speeds, id);
+      return;
+    }
+    for (std::size_t i = 0; i < kLookAround; ++i) {
+      if (next_look_ >= plan_.size()) {
+        next_look_ = 0;
+        speeds_ = std::exchange(adding_, {});
+        return;
+      }
+      const ServerId id = plan_[next_look_++];
+      look_at(servers_[id]);
+      count_speed(adding_, servers_[id]);
+      reweigh(speeds_, id);
     }
   }
 
@@ -898,6 +973,15 @@
     ask_after(kAskAgain);  // should no answer come at all
   }
 
+  // All but what is in flight, and its place in the plan.
+  static void forget(Server& server) {
+    Server fresh;
+    fresh.in_flight = server.in_flight;
+    fresh.planned = server.planned;
+    fresh.counted = server.counted;
+    server = fresh;
+  }
+
   void on_members(Time now, Update update, std::span<const Member> members) {
     now_ = now;
     watching_ = !config_.must_ask || (update != Update::stale && update != Update::failed);
@@ -918,9 +1002,13 @@
       if (server.zone != nullptr)
         for (Health* health : healths(server)) health->in_flight -= server.in_flight;
       // A new process, or another server under an id that is used again: nothing learned holds.
+      if (member.identity != server.member.identity && server.planned) unplan(member.id);
       if (member.started != server.member.started || member.identity != server.member.identity)
-        server.in_flight = std::exchange(server, Server{}).in_flight;
-      if (server.member.id == kNone) server.weight = std::max(1e-3, member.weight);
+        forget(server);
+      if (server.member.id == kNone) {
+        server.weight = std::max(1e-3, member.weight);
+        index_.set_weight(member.identity, member.id, server.weight);
+      }
       server.member = member;
       server.zone = &zones_[member.zone];
       server.cell = &cells_[member.cell];
@@ -930,12 +1018,11 @@
       if (origin) origin_ = member.id;
       if (!origin && origin_ == member.id) origin_ = kNone;
     }
-    plan_.clear();
-    for (ServerId id = 0; id < servers_.size(); ++id)
-      if (in_plan(servers_[id])) plan_.push_back(id);
-    std::sort(plan_.begin(), plan_.end(), [this](ServerId a, ServerId b) {
-      return servers_[a].member.identity < servers_[b].member.identity;
-    });
+    if (update == Update::changes) {
+      for (const Member& member : members) replan(member.id);
+    } else {
+      for (ServerId id = 0; id < servers_.size(); ++id) replan(id);
+    }
     // Nothing is known yet: an even part of what the servers should hold at once.
     const double even = even_part();
     if (cache_limit_.value <= 0 && !plan_.empty()) {
