--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -63,7 +63,8 @@
   discovery_ = std::make_unique<Discovery>(io_, names_, settings.discovery, settings.known.revision,
                                            !must_ask, told.seed, *engine_);
   engine_->start(*discovery_, settings.known);
-  http_ = std::make_unique<Clients>(io_, clock_, names_, *engine_, settings.listen, descriptors_);
+  http_ = std::make_unique<Clients>(io_, clock_, names_, *engine_, settings.listen, descriptors_,
+                                    settings.overload);
   engine_->add(*http_);
   if (!must_ask) discovery_->watch();
   every_ten_seconds();
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -98,7 +98,7 @@
   node::Options options;
   if (!options_path.empty()) options = node::load_options(options_path);
   if (config != nullptr && *config != '\0') {
-    const node::NodeSettings settings = node::load_settings(config);
+    node::NodeSettings settings = node::load_settings(config);
     if (!options_path.empty()) node::resolve(options, settings);
     std::cout << "configuration: " << config << " can be used\n";
   } else {
--- a/src/daemon/node_settings.cpp
+++ b/src/daemon/node_settings.cpp
@@ -55,7 +55,8 @@
 }  // namespace
 
 overload::Descriptors::Limits descriptor_limits(const NodeSettings& settings) {
-  return overload::Descriptors::thirds(std::max(settings.sockets, kLeastDescriptors) - kOtherDescriptors);
+  return overload::Descriptors::limits(std::max(settings.sockets, kLeastDescriptors) - kOtherDescriptors,
+                                       settings.overload);
 }
 
 NodeSettings parse_settings(const std::string& text) {
--- a/src/daemon/node_settings.h
+++ b/src/daemon/node_settings.h
@@ -19,10 +19,11 @@
   std::size_t sockets = 0;  // file descriptors this process may hold
   std::size_t memory_mb = 0;
   MemberList known;
+  overload::Settings overload;  // the operator's
 };
 
 // The descriptors that connections may have, of clients and to servers: all but those of standard streams,
-// listeners, discovery and the loop. A third each side has for itself.
+// listeners, discovery and the loop.
 overload::Descriptors::Limits descriptor_limits(const NodeSettings& settings);
 
 // Both throw std::runtime_error with one line that says what is wrong.
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -2,14 +2,18 @@
 
 #include <fstream>
 #include <iterator>
+#include <sstream>
 #include <utility>
 
+#include "overload/options.h"
+
 namespace streampick::node {
 
 Options parse_options(const std::string& text, const std::string& path) {
   Options out;
   out.file = path;
   options::Table root = options::Table::parse(text, path);
+  if (auto table = root.table("overload")) out.overload = overload::read_options(std::move(*table));
 #ifdef STREAMPICK_WITH_RESP
   if (auto resp = root.table("resp")) out.resp = resp::read_options(std::move(*resp));
 #endif
@@ -24,21 +28,26 @@
   return parse_options(text, path);
 }
 
-void resolve([[maybe_unused]] Options& options, [[maybe_unused]] const NodeSettings& node) {
+void resolve(Options& options, NodeSettings& node) {
+  node.overload = options.overload;
 #ifdef STREAMPICK_WITH_RESP
   const auto limits = descriptor_limits(node);
   resp::resolve(options.resp, node.settings, options.file, limits.total - limits.servers_floor);
 #endif
 }
 
-std::string describe([[maybe_unused]] const Options& options) {
-  std::string out;
+std::string describe(const Options& options) {
+  std::ostringstream out;
+  const overload::Settings& limits = options.overload;
+  out << "overload: floors " << limits.clients_floor << " and " << limits.servers_floor << ", a crowd from "
+      << limits.crowd << " on, idle " << limits.calm_idle / 1000 << " ms, " << limits.crowded_idle / 1000
+      << " ms in a crowd\n";
 #ifdef STREAMPICK_WITH_RESP
-  out += resp::describe(options.resp);
+  out << resp::describe(options.resp);
 #else
-  out += "resp: not in this build (STREAMPICK_RESP)\n";
+  out << "resp: not in this build (STREAMPICK_RESP)\n";
 #endif
-  return out;
+  return out.str();
 }
 
 }  // namespace streampick::node
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -6,6 +6,7 @@
 
 #include "daemon/node_settings.h"
 #include "options/table.h"
+#include "overload/settings.h"
 #ifdef STREAMPICK_WITH_RESP
 #include "resp/options.h"
 #endif
@@ -14,6 +15,7 @@
 
 struct Options {
   std::string file;
+  overload::Settings overload;
 #ifdef STREAMPICK_WITH_RESP
   resp::Options resp;
 #endif
@@ -23,7 +25,8 @@
 Options load_options(const std::string& path);
 Options parse_options(const std::string& toml, const std::string& path);
 // Checks the options against the platform's configuration, and fills in what only that tells.
-void resolve(Options& options, const NodeSettings& settings);
+// The settings take what of the options is theirs.
+void resolve(Options& options, NodeSettings& settings);
 
 // What is on, a line each.
 std::string describe(const Options& options);
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -400,14 +400,15 @@
 };
 
 Clients::Clients(asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
-                 const tcp::endpoint& listen, overload::Descriptors& descriptors)
+                 const tcp::endpoint& listen, overload::Descriptors& descriptors,
+                 const overload::Settings& limits)
     : clock_(clock),
       names_(names),
       requests_(requests),
       listener_(io, listen, *this),
       sweep_(io),
       descriptors_(descriptors),
-      rules_(descriptors.total()) {
+      rules_(descriptors.total(), limits) {
   listener_.go_on();
   sweep();
 }
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -29,13 +29,14 @@
     std::uint64_t expired = 0;  // ... and that stood still for too long
     std::uint64_t waited = 0;   // times that the next connection had to wait for a place
     std::uint64_t unread = 0;   // answers 4xx: what can't be read or is not allowed
-    std::uint64_t once = 0;      // ended behind their first answer, in a crowd
+    std::uint64_t once = 0;     // ended behind their first answer, in a crowd
     std::uint64_t left = 0;     // clients that ended a connection with a request in work
   };
 
   // Throws boost::system::system_error when the address can't be listened on.
   Clients(boost::asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
-          const boost::asio::ip::tcp::endpoint& listen, overload::Descriptors& descriptors);
+          const boost::asio::ip::tcp::endpoint& listen, overload::Descriptors& descriptors,
+          const overload::Settings& limits);
   ~Clients() override;
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
--- a/src/overload/connections.h
+++ b/src/overload/connections.h
@@ -9,26 +9,29 @@
 #include <algorithm>
 #include <cstddef>
 
+#include "overload/settings.h"
+
 namespace streampick::overload {
 
 class ConnectionRules {
  public:
-  // Microseconds.
-  using Time = long long;
-  static constexpr Time kCalmIdle = 10'000'000, kCrowdedIdle = 2'000'000;
-
-  explicit ConnectionRules(std::size_t descriptors) : crowd_(std::max<std::size_t>(4, descriptors / 4)) {}
+  explicit ConnectionRules(std::size_t descriptors, const Settings& settings = {})
+      : crowd_(std::max<std::size_t>(
+            4, static_cast<std::size_t>(static_cast<double>(descriptors) * settings.crowd))),
+        calm_idle_(settings.calm_idle),
+        crowded_idle_(settings.crowded_idle) {}
 
   // Connections with a request in work, or between two of them, from which on there is a crowd.
   std::size_t crowd() const { return crowd_; }
   bool crowded(std::size_t held) const { return held >= crowd_; }
   // Whether a connection stays open behind its `answers`-th answer, `held` being held with it.
   bool keep(std::size_t answers, std::size_t held) const { return answers > 1 || !crowded(held); }
-  // How long one may rest between two requests.
-  Time idle(std::size_t held) const { return crowded(held) ? kCrowdedIdle : kCalmIdle; }
+  // How long one may rest between two requests, in us.
+  long long idle(std::size_t held) const { return crowded(held) ? crowded_idle_ : calm_idle_; }
 
  private:
   std::size_t crowd_;
+  long long calm_idle_, crowded_idle_;
 };
 
 }  // namespace streampick::overload
--- a/src/overload/descriptors.h
+++ b/src/overload/descriptors.h
@@ -10,6 +10,8 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "overload/settings.h"
+
 namespace streampick::overload {
 
 class Descriptors {
@@ -19,8 +21,12 @@
     std::size_t total = 0;
     std::size_t clients_floor = 0, servers_floor = 0;  // together at most the total
   };
-  // A third of the descriptors each side keeps; the rest is lent.
-  static Limits thirds(std::size_t total) { return {total, total / 3, total / 3}; }
+  static Limits limits(std::size_t total, const Settings& settings) {
+    const auto share = [total](double of) {
+      return static_cast<std::size_t>(static_cast<double>(total) * of);
+    };
+    return {total, share(settings.clients_floor), share(settings.servers_floor)};
+  }
 
   Descriptors() = default;
   explicit Descriptors(const Limits& limits) : limits_(limits) {}
--- /dev/null
+++ b/src/overload/options.cpp
@@ -0,0 +1,19 @@
+#include "overload/options.h"
+
+namespace streampick::overload {
+
+Settings read_options(options::Table table) {
+  Settings out;
+  table.number("clients_floor", out.clients_floor, 0.05, 0.9);
+  table.number("servers_floor", out.servers_floor, 0.05, 0.9);
+  if (out.clients_floor + out.servers_floor > 1)
+    table.wrong("servers_floor", "with clients_floor it is more than the whole");
+  table.number("crowd", out.crowd, 0.01, 1);
+  table.integer("calm_idle_ms", out.calm_idle, 100, 86'400'000, 1000);
+  table.integer("crowded_idle_ms", out.crowded_idle, 100, 86'400'000, 1000);
+  if (out.crowded_idle > out.calm_idle) table.wrong("crowded_idle_ms", "it is longer than calm_idle_ms");
+  table.no_others();
+  return out;
+}
+
+}  // namespace streampick::overload
--- a/tests/overload/connections_test.cpp
+++ b/tests/overload/connections_test.cpp
@@ -12,8 +12,8 @@
   EXPECT_TRUE(rules.keep(1, 87));
   EXPECT_FALSE(rules.keep(1, 88));
   EXPECT_TRUE(rules.keep(2, 350));  // it was used again: a client that works
-  EXPECT_EQ(rules.idle(87), ConnectionRules::kCalmIdle);
-  EXPECT_EQ(rules.idle(88), ConnectionRules::kCrowdedIdle);
+  EXPECT_EQ(rules.idle(87), 10'000'000);
+  EXPECT_EQ(rules.idle(88), 2'000'000);
   EXPECT_TRUE(ConnectionRules(0).keep(1, 3));  // however few there are, some are kept
 }
 
--- a/tests/resp/options_test.cpp
+++ b/tests/resp/options_test.cpp
@@ -16,7 +16,8 @@
   if (!change.is_null()) config.merge_patch(change);
   try {
     Options options = parse_options(toml, "o.toml");
-    resolve(options, parse_settings(config.dump()));
+    NodeSettings settings = parse_settings(config.dump());
+    resolve(options, settings);
   } catch (const options::Error& error) {
     return error.what();
   }
@@ -50,6 +51,12 @@
        "o.toml: resp.front.most_clients: of 150 descriptors for clients it must leave 8 to the HTTP side"},
       {front + "tenant = \"t\"\n", "o.toml: resp.front.tenant: 't' is not among the settings' Tenants"},
       {"[resp]\nfront = 3\n", "o.toml:2: resp.front: expected a table"},
+      {"[overload]\ncrowd = 2\n", "o.toml:2: overload.crowd: expected a number from 0.01 to 1"},
+      {"[overload]\ncrowd = \"a\"\n", "o.toml:2: overload.crowd: expected a number from 0.01 to 1"},
+      {"[overload]\nclients_floor = 0.7\nservers_floor = 0.4\n",
+       "o.toml:3: overload.servers_floor: with clients_floor it is more than the whole"},
+      {"[overload]\ncrowded_idle_ms = 20000\n",
+       "o.toml:2: overload.crowded_idle_ms: it is longer than calm_idle_ms"},
       {"[grpc]\n", "o.toml:1: grpc: there is no such key"},
   };
   for (const auto& [toml, error] : cases) EXPECT_EQ(error_of(toml), error) << toml;
@@ -83,6 +90,9 @@
   EXPECT_EQ(out, "streampick_router: /nowhere.toml: it can't be read\n");
   EXPECT_EQ(run(router + "--check --options " STREAMPICK_SOURCE "/deploy/examples/resp.toml", out), 0) << out;
   EXPECT_NE(out.find("resp.front: on"), std::string::npos) << out;
+  EXPECT_EQ(run(router + "--check --options " STREAMPICK_SOURCE "/deploy/examples/overload.toml", out), 0)
+      << out;
+  EXPECT_NE(out.find("overload: floors 0.333 and 0.333"), std::string::npos) << out;
   EXPECT_EQ(run(router + "--check", out), 0);
   EXPECT_NE(out.find("resp.front: off"), std::string::npos);
 }
