--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -27,6 +27,8 @@
 constexpr double kBound = 1.25;          // in-flight bound, as a multiple of the fair share
 constexpr std::uint64_t kLeaves = 8;     // parts of a large fleet that a key tries for a server with room
 constexpr double kBoundFloor = 2;        // ... and never under this: small counts are all noise
+constexpr double kBoundMost = 8;         // ... or this, where answers take so little of the aim that ...
+constexpr double kBoundWait = 0.1;       // ... so many behind one another stay within this share of it
 constexpr double kDelayPerAim = 0.4;     // the constant delay, as a share of the class's aim
 constexpr std::uint32_t kMaxCopies = 2;  // N, the most extra copies of one request
 constexpr double kCopyBudget = 0.15;     // copies per first attempt, over time
@@ -36,7 +38,8 @@
 constexpr int kStrikesToEject = 3;     // bad outcomes in a row
 constexpr Time kEjectFirst = kSecond;  // first ejection; doubles up to kEjectMost
 constexpr Time kEjectMost = 8 * kSecond;
-constexpr int kSpoiltToDoubt = 2;   // spoilt or cut off in a row: the next server is asked ...
+constexpr std::uint32_t kOvertaken = 4;  // answers to others since an attempt was sent: it is stuck
+constexpr int kSpoiltToDoubt = 2;        // spoilt or cut off in a row: the next server is asked ...
 constexpr int kSpoiltToStrike = 5;  // ... and the server is at fault, not whatever befalls all servers alike
 constexpr double kSpeedPower = 0.75;  // weight = speed to this power
 constexpr double kSpeedRange = 4;     // ... within this factor of the mean
@@ -97,7 +100,8 @@
 struct Server {
   Member member;
   bool listed = false;
-  int in_flight = 0;
+  int in_flight = 0, stuck = 0;
+  std::uint32_t answers = 0;  // so far
   Health health, *zone = nullptr, *cell = nullptr;
   // Decayed sums of what answers took and of what they were expected to take.
   double took = 0, expected = 0;
@@ -113,8 +117,9 @@
 struct Attempt {
   ServerId server = kNone;
   Time sent = 0;
+  std::uint32_t answers = 0;  // of its server, when it was sent
   Outcome outcome = Outcome::served;
-  bool live = false, struck = false, dial = false, origin = false;
+  bool live = false, struck = false, dial = false, origin = false, stuck = false;
 };
 
 // On work in flight, as this router's part of the whole. Below one it is kept as a rate: one at a time,
@@ -226,7 +231,7 @@
   double healthy_ = 0;          // weight of those that are well, each as it was when last looked at
   std::size_t next_look_ = 0;   // where in a large plan the next tick goes on
   ServerId origin_ = kNone;
-  int cache_in_flight_ = 0;
+  int cache_in_flight_ = 0, stuck_ = 0;
   std::map<std::uint32_t, Health> zones_, cells_;  // ordered, and its nodes stay where they are
 
   Time last_reweigh_ = 0, arrived_ = 0, idle_timer_ = 0;
@@ -324,6 +329,10 @@
         look_at(servers_[id]);
       }
     }
+    // Where answers are quick, chance alone brings a few to one server at a time: to skip it then would
+    // scatter its keys over servers that lack them, and save nobody a wait.
+    const double floor =
+        crowding_ > 0 ? std::clamp(kBoundWait / crowding_, kBoundFloor, kBoundMost) : kBoundFloor;
     const double chance = draw();
     ServerId best = kNone, fallback = kNone;
     double best_score = -1, fallback_score = -1;
@@ -342,11 +351,11 @@
         if (warm < 1 && (for_copy || open.sent > 0 || chance >= warm)) continue;
         const double weight = std::max(1e-3, server.weight);
         const double bound =
-            std::max(std::ceil(kBound * (cache_in_flight_ + 1) * weight / std::max(healthy_, 1e-3)),
-                     warm < 1 ? 1.0 : kBoundFloor);
+            std::max(std::ceil(kBound * (cache_in_flight_ - stuck_ + 1) * weight / std::max(healthy_, 1e-3)),
+                     warm < 1 ? 1.0 : floor);
         const double score = rank(own ^ server.member.identity, weight);
         const bool bad = server.off && healthy_ > 0;
-        if (!bad && server.in_flight < bound) {
+        if (!bad && server.in_flight - server.stuck < bound) {
           if (score > best_score) best = id, best_score = score;
         } else if (warm >= 1) {
           const double spare = weight / (server.in_flight + 1) * (bad ? 1e-3 : 1);
@@ -438,7 +447,8 @@
     Open& open = open_[slot];
     Server& to = servers_[server];
     const bool origin = server == origin_;
-    open.attempts[open.sent++] = {server, now_, Outcome::served, true, false, !linked(to), origin};
+    open.attempts[open.sent++] = {server, now_,  to.answers,  Outcome::served,
+                                  true,   false, !linked(to), origin};
     ++open.live;
     ++to.in_flight;
     for (Health* health : healths(to)) ++health->in_flight;
@@ -458,6 +468,13 @@
       if (attempt.live && !attempt.struck && server.health.last_answer < attempt.sent) {
         attempt.struck = true;
         strike(server, server.zone->last_answer < attempt.sent);
+      } else if (attempt.live && !attempt.stuck && !attempt.origin &&
+                 server.answers - attempt.answers >= kOvertaken) {
+        // The server has answered many others since: what holds this one is no work of the server's, and
+        // counted as such it would move keys to servers that lack them.
+        attempt.stuck = true;
+        ++server.stuck;
+        ++stuck_;
       }
     }
     if (open.copies >= kMaxCopies || attempts_left(open) == 0) return;
@@ -565,6 +582,7 @@
       attempt.outcome = result.outcome;
       --open.live;
       --servers_[attempt.server].in_flight;
+      if (attempt.stuck) --servers_[attempt.server].stuck, --stuck_;
       for (Health* health : healths(servers_[attempt.server])) --health->in_flight;
       --(attempt.origin ? origin_in_flight_ : cache_in_flight_);
       if (attempt.origin && open.request.write) --origin_writes_;
@@ -670,7 +688,10 @@
   void judge(Server& server, const Attempt& attempt, const AttemptResult& result, const Open& open) {
     // Crowded: answers take long, or servers are full again after the plan's next one was tried.
     const bool full_again = result.outcome == Outcome::full && open.sent > 1;
-    if (result.outcome == Outcome::served || result.outcome == Outcome::miss) server.spoilt = 0;
+    if (result.outcome == Outcome::served || result.outcome == Outcome::miss) {
+      server.spoilt = 0;
+      ++server.answers;
+    }
     if (!attempt.origin && (result.outcome == Outcome::served || full_again)) {
       const double share = static_cast<double>(now_ - attempt.sent) /
                            static_cast<double>(std::max<Time>(1, class_of(open).aim));
@@ -977,6 +998,8 @@
   static void forget(Server& server) {
     Server fresh;
     fresh.in_flight = server.in_flight;
+    fresh.stuck = server.stuck;
+    fresh.answers = server.answers;
     fresh.planned = server.planned;
     fresh.counted = server.counted;
     server = fresh;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -55,6 +55,50 @@
   for (const auto& [server, sent] : count) EXPECT_LE(sent, 4);
 }
 
+// Reads of other keys, each answered after `took`.
+void answer_some(FakeHost& host, Time took) {
+  for (RequestId id = 1'001; id <= 1'020; ++id) {
+    host.request(id, 0, id);
+    host.advance(took);
+    host.result(host.sends.size() - 1, Outcome::served);
+  }
+}
+
+// By chance a few come to one server at a time. Where answers take next to nothing of the aim, to skip it
+// then would only scatter its keys over servers that lack them.
+TEST(Plan, AFewAtATimeScatterAKeyOnlyWhereAnswersTakeLong) {
+  for (const bool quick : {true, false}) {
+    FakeHost host;
+    answer_some(host, quick ? 10 * kMs : 200 * kMs);
+    const std::size_t before = host.sends.size();
+    for (RequestId id = 1; id <= 5; ++id) host.request(id, 0, 42);
+    std::map<ServerId, int> count;
+    for (std::size_t i = before; i < host.sends.size(); ++i) ++count[host.sends[i].server];
+    EXPECT_EQ(count.size() == 1, quick);
+  }
+}
+
+// An attempt that others overtook, four at its own server, waits for something else than that server's work.
+TEST(Plan, AnAttemptThatIsStuckDoesNotMoveItsServersKeys) {
+  FakeHost host(with_copies());
+  answer_some(host, 200 * kMs);
+  host.request(1, 0, 42);
+  const ServerId server = host.sends.back().server;
+  for (RequestId id = 2; id <= 5; ++id) {
+    host.request(id, 0, 42);
+    ASSERT_EQ(host.sends.back().server, server);
+    host.result(host.sends.size() - 1, Outcome::served);
+  }
+  host.advance(450 * kMs);  // its copy goes out
+  ASSERT_EQ(host.sends_of(1), 2U);
+  for (RequestId id = 6; id <= 7; ++id) {
+    host.request(id, 0, 42);
+    EXPECT_EQ(host.sends.back().server, server);
+  }
+  host.request(8, 0, 42);
+  EXPECT_NE(host.sends.back().server, server);  // the two others count
+}
+
 TEST(Plan, NothingNewGoesToADrainingOrMissingServer) {
   FakeHost host(with_copies());
   host.list[0].phase = Phase::draining;
