--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -13,7 +13,7 @@
 constexpr Time kAnswerTakes = 20 * kMs, kGuardBefore = 8 * kMs;
 constexpr Time kAcceptAfterTerm = 500 * kMs, kAnswerAfterTerm = 3'200 * kMs, kLastWrites = 200 * kMs;
 constexpr Time kRememberTxn = 2 * kSecond;
-constexpr std::size_t kMostEndedTxns = 4096, kMostEndedExpiries = 1024;
+constexpr std::size_t kMostEndedTxns = 4096, kLeastSweep = 1024;
 
 bool may_have_run(Outcome outcome) {
   switch (outcome) {
@@ -262,10 +262,12 @@
 // ---- Time
 
 void Engine::expire_at(Expiry expiry) {
-  // Where requests end long before their time, what has ended must not outgrow what is open.
-  if (expiries_.size() > kMostEndedExpiries + 4 * requests_.size()) {
+  // Where requests end long before their time, what has ended must not outgrow what is open. Swept when it
+  // has doubled: however many are open, a sweep is paid for by what came since the last.
+  if (expiries_.size() >= sweep_at_) {
     std::erase_if(expiries_, [this](const Expiry& other) { return !is_due(other); });
     std::make_heap(expiries_.begin(), expiries_.end(), std::greater<>());
+    sweep_at_ = std::max(kLeastSweep, 2 * expiries_.size());
   }
   expiries_.push_back(expiry);
   std::push_heap(expiries_.begin(), expiries_.end(), std::greater<>());
@@ -334,8 +336,9 @@
 
 void Engine::every_second() {
   // Closed a little before the server would: a request that crosses the server's close is lost.
-  const Time unused =
-      keep_alive_ > 0 ? time_.now() - std::max(keep_alive_ - 2 * kSecond, keep_alive_ * 8 / 10) : 0;
+  const Time unused = keep_alive_ > 0
+                          ? time_.now() - std::max(keep_alive_ - 2 * kSecond, keep_alive_ * 8 / 10)
+                          : -1;  // -1: none
   for (const Server& server : servers_)
     if (server.transport) server.transport->close_idle(unused);
   forget_txns();
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -149,6 +149,7 @@
   std::vector<Time> patience_;  // by class: the longest that its clients wait
   // A heap, the next one first. What has ended stays in it until its turn comes, or until most have ended.
   std::vector<Expiry> expiries_;
+  std::size_t sweep_at_ = 0;  // its size at which what has ended is taken out
   std::deque<Ended> ended_;
   StoreBack store_back_;
   bool stores_back_ = false;
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -335,12 +335,8 @@
   // Writes what the socket takes; waits only when it takes no more.
   void push() {
     while (owner_ != nullptr && written_ < out_head_.size() + out_body_.size()) {
-      const std::size_t of_head = std::min(written_, out_head_.size()), of_body = written_ - of_head;
-      const std::array<asio::const_buffer, 2> rest = {
-          asio::buffer(out_head_.data() + of_head, out_head_.size() - of_head),
-          asio::buffer(out_body_.data() + of_body, out_body_.size() - of_body)};
       error_code error;
-      written_ += socket_.write_some(rest, error);
+      written_ += write_rest(socket_, out_head_, out_body_, written_, error);
       if (error == asio::error::would_block) {
         socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
           if (self->owner_ == nullptr) return;
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -38,6 +38,16 @@
 
 inline std::string_view view(beast::string_view text) { return {text.data(), text.size()}; }
 
+// Writes what the socket takes at once of a head and its body, from their `written`-th byte on. Returns how
+// many bytes it took; would_block: none.
+inline std::size_t write_rest(tcp::socket& socket, const std::string& head, const std::string& body,
+                              std::size_t written, error_code& error) {
+  const std::size_t of_head = std::min(written, head.size()), of_body = written - of_head;
+  const std::array<asio::const_buffer, 2> rest = {asio::buffer(head.data() + of_head, head.size() - of_head),
+                                                  asio::buffer(body.data() + of_body, body.size() - of_body)};
+  return socket.write_some(rest, error);
+}
+
 // RFC 9112, section 3.2: an HTTP/1.1 request names its host once. Two names, or none, let two readers of it
 // think of two servers. An empty name is a name.
 inline bool host_is_plain(unsigned version, unsigned hosts, std::string_view host) {
--- a/src/http1/transport.cpp
+++ b/src/http1/transport.cpp
@@ -17,8 +17,9 @@
 constexpr std::size_t kChunk = 16 * 1024;
 constexpr Time kRested = 1'000'000;
 
-// Its socket is always read, so that a close is noticed at once, on an idle connection too. The loop's own
-// read is registered once and costs no system call but the read itself.
+// While a request is out the loop reads its socket: registered once, that costs no system call but the reads.
+// Between two requests nothing is read, so that what comes then stays where looking tells of it; on one that
+// has been idle for a while the loop reads again, to notice its end.
 class Upstream::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(Upstream& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {
@@ -106,12 +107,8 @@
   void push() {
     const std::string& body = job_->message->body;
     while (!whole()) {
-      const std::size_t of_head = std::min(written_, head_out_.size()), of_body = written_ - of_head;
-      const std::array<asio::const_buffer, 2> rest = {
-          asio::buffer(head_out_.data() + of_head, head_out_.size() - of_head),
-          asio::buffer(body.data() + of_body, body.size() - of_body)};
       error_code error;
-      written_ += socket_.write_some(rest, error);
+      written_ += write_rest(socket_, head_out_, body, written_, error);
       if (error == asio::error::would_block) {
         socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
           if (self->owner_ == nullptr || !self->job_) return;
