--- /dev/null
+++ b/bench/overload/overload.cpp
@@ -0,0 +1,188 @@
+// What is left of the service when more is asked than there is strength for.
+//
+//   bench_overload curve --router build-full/streampick_router --svg docs/overload-goodput.svg
+//   bench_overload soak --router ... --seconds 600
+//
+// curve: a fleet of bounded strength, loads from 0.5 to 6 times what it can do; how much is answered in time.
+// soak: one load for long, with ever new connections; memory and descriptors of the router as time passes.
+#include <CLI/CLI.hpp>
+#include <atomic>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <thread>
+
+#include "open_load.h"
+#include "plot.h"
+#include "standin/http_cache.h"
+#include "standin/platform.h"
+
+namespace streampick::bench {
+namespace {
+
+constexpr std::size_t kCaches = 8, kSlots = 4;
+constexpr std::chrono::milliseconds kWork{8}, kOriginWork{16};
+
+// The caches and the origin on a thread of their own, and a router over them.
+class Fleet {
+ public:
+  Fleet(const std::string& program, const std::string& options, std::size_t sockets) {
+    std::vector<standin::PlatformMember> members;
+    for (std::size_t i = 0; i < kCaches + 1; ++i) {
+      const bool origin = i == kCaches;
+      servers_.push_back(std::make_unique<standin::HttpCache>(io_, std::string(1024, 'x')));
+      servers_.back()->delay = origin ? kOriginWork : kWork;
+      servers_.back()->slots = kSlots;
+      servers_.back()->line = 4 * kSlots;
+      servers_.back()->keys = origin ? 0 : 10;  // one key in ten is at the origin alone
+      members.push_back({(origin ? "o-" : "c-") + std::to_string(i), servers_.back()->address(), origin});
+    }
+    discovery_ = std::make_unique<standin::StaticDiscovery>(io_, members);
+    port_ = standin::free_port(io_);
+    const auto config =
+        standin::router_config("127.0.0.1:" + std::to_string(port_), discovery_->address(), members, sockets);
+    log_ = std::filesystem::temp_directory_path() / ("bench-overload-" + std::to_string(::getpid()) + ".log");
+    router_ = std::make_unique<standin::RouterProcess>(program, config, options, log_);
+    thread_ = std::thread([this] {
+      while (!done_) {
+        io_.restart();
+        io_.run_for(std::chrono::milliseconds(100));
+      }
+    });
+    std::this_thread::sleep_for(std::chrono::milliseconds(800));
+  }
+  ~Fleet() {
+    router_->stop();
+    done_ = true;
+    thread_.join();
+    std::ifstream log(log_);
+    std::string line, last;
+    while (std::getline(log, line)) last = line;
+    std::cout << last << "\n";
+    std::filesystem::remove(log_);
+  }
+  unsigned short port() const { return port_; }
+  const standin::RouterProcess& router() const { return *router_; }
+  std::size_t descriptors() const {
+    std::size_t out = 0;
+    for (const auto& entry :
+         std::filesystem::directory_iterator("/proc/" + std::to_string(router_->pid()) + "/fd")) {
+      (void)entry;
+      ++out;
+    }
+    return out;
+  }
+  // Requests a second that the caches can do, one in ten of which the origin has to do again.
+  static double strength() {
+    return static_cast<double>(kCaches * kSlots) / std::chrono::duration<double>(kWork).count();
+  }
+
+ private:
+  boost::asio::io_context io_{1};
+  std::vector<std::unique_ptr<standin::HttpCache>> servers_;
+  std::unique_ptr<standin::StaticDiscovery> discovery_;
+  std::unique_ptr<standin::RouterProcess> router_;
+  std::filesystem::path log_;
+  unsigned short port_ = 0;
+  std::atomic<bool> done_{false};
+  std::thread thread_;
+};
+
+void curve(const std::string& program, const std::string& options, double seconds, const std::string& svg) {
+  // The origin can do a part of it only; what the caches lack is a tenth.
+  const double strength = std::min(Fleet::strength(), 10 * static_cast<double>(kSlots) /
+                                                          std::chrono::duration<double>(kOriginWork).count());
+  std::printf("strength %.0f requests a second; aim 200 ms, patience 800 ms\n", strength);
+  std::printf("%6s %8s %8s %8s %8s %8s %8s %9s %9s %9s\n", "load", "asked/s", "good/s", "late/s", "refused/s",
+              "failed", "gave up", "p50 ms", "p99 ms", "saves ok");
+  Line good{"answered in time", {}}, refused{"refused", {}}, rest{"late, failed, given up", {}},
+      asked{"asked", {}};
+  for (const double times : {0.5, 0.8, 1.0, 1.5, 2.0, 3.0, 4.0, 6.0}) {
+    Fleet fleet(program, options, 1024);
+    OpenLoad load;
+    load.port = fleet.port();
+    load.rate = strength * times;
+    load.seconds = seconds;
+    load.most_connections = 600;
+    load.returns = 0.9;
+    load.saves = 0.05;
+    load.seed = 7;
+    OpenResult out = run_open_load(load);
+    const double all = seconds;
+    std::printf("%6.1f %8.0f %8.0f %8.0f %8.0f %8llu %8llu %9.1f %9.1f %8.0f%%\n", times,
+                static_cast<double>(out.asked) / all, static_cast<double>(out.good) / all,
+                static_cast<double>(out.late) / all, static_cast<double>(out.refused) / all,
+                static_cast<unsigned long long>(out.failed),
+                static_cast<unsigned long long>(out.given_up + out.unsent), 1e3 * out.quantile(0.5),
+                1e3 * out.quantile(0.99),
+                100.0 * static_cast<double>(out.saves_good) /
+                    static_cast<double>(std::max<std::uint64_t>(1, out.saves)));
+    std::fflush(stdout);
+    good.points.emplace_back(times, static_cast<double>(out.good) / all);
+    refused.points.emplace_back(times, static_cast<double>(out.refused) / all);
+    rest.points.emplace_back(times,
+                             static_cast<double>(out.late + out.failed + out.given_up + out.unsent) / all);
+    asked.points.emplace_back(times, static_cast<double>(out.asked) / all);
+  }
+  if (svg.empty()) return;
+  std::ofstream(svg) << line_chart("Requests a second, by what became of them",
+                                   "load over the fleet's strength", "a second",
+                                   {good, refused, rest, asked});
+}
+
+void soak(const std::string& program, const std::string& options, double seconds) {
+  Fleet fleet(program, options, 1024);
+  std::printf("%8s %12s %12s %10s %10s %10s\n", "s", "resident KB", "descriptors", "asked", "good",
+              "connections");
+  const double part = std::min(30.0, seconds);
+  std::uint64_t asked = 0, good = 0, opened = 0;
+  for (double at = 0; at < seconds; at += part) {
+    OpenLoad load;
+    load.port = fleet.port();
+    load.rate = 800;
+    load.seconds = part;
+    load.once = 0.5;
+    load.saves = 0.05;
+    load.keys = 100'000;
+    load.seed = static_cast<std::uint64_t>(at) + 1;
+    const OpenResult out = run_open_load(load);
+    asked += out.asked;
+    good += out.good;
+    opened += out.opened;
+    std::printf("%8.0f %12ld %12zu %10llu %10llu %10llu\n", at + part, fleet.router().resident_kb(),
+                fleet.descriptors(), static_cast<unsigned long long>(asked),
+                static_cast<unsigned long long>(good), static_cast<unsigned long long>(opened));
+    std::fflush(stdout);
+  }
+}
+
+}  // namespace
+}  // namespace streampick::bench
+
+int main(int argc, char** argv) {
+  CLI::App app("What is left of the service under overload.");
+  std::string router = "build-full/streampick_router", svg, options_path;
+  double seconds = 6;
+  for (CLI::App* mode : {app.add_subcommand("curve", "loads from 0.5 to 6 times the fleet's strength"),
+                         app.add_subcommand("soak", "one load for long, with ever new connections")}) {
+    mode->add_option("--router", router, "the router's program")->check(CLI::ExistingFile);
+    mode->add_option("--options", options_path, "an options file")->check(CLI::ExistingFile);
+    mode->add_option("--seconds", seconds, "of each load, or in all");
+    mode->add_option("--svg", svg, "where to draw the curve");
+  }
+  app.require_subcommand(1);
+  CLI11_PARSE(app, argc, argv);
+  std::string options;
+  if (!options_path.empty()) {
+    std::ifstream file(options_path);
+    options.assign(std::istreambuf_iterator<char>(file), {});
+  }
+  if (app.got_subcommand("curve")) {
+    streampick::bench::curve(router, options, seconds, svg);
+  } else {
+    streampick::bench::soak(router, options, seconds);
+  }
+  return 0;
+}
--- /dev/null
+++ b/bench/overload/plot.h
@@ -0,0 +1,18 @@
+// A line chart as SVG: a few named lines over one axis.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace streampick::bench {
+
+struct Line {
+  std::string name;
+  std::vector<std::pair<double, double>> points;
+};
+
+std::string line_chart(const std::string& title, const std::string& x, const std::string& y,
+                       const std::vector<Line>& lines);
+
+}  // namespace streampick::bench
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -37,7 +37,8 @@
   const auto& front = options.resp.front;
   begin(own);
   if (!front) return;
-  resp_ = std::make_unique<resp::RespFront>(io_, clock_, names_, *engine_, front->settings, &descriptors_);
+  resp_ = std::make_unique<resp::RespFront>(io_, clock_, names_, *engine_, front->settings, &descriptors_,
+                                            admission_.get());
   engine_->add(*resp_);
 #else
   begin(settings);
@@ -49,6 +50,9 @@
   descriptors_ = overload::Descriptors(descriptor_limits(settings));
   links_.descriptors = &descriptors_;
   links_.most_large = settings.memory_mb * (1024 * 1024 / 4);
+  links_.parts_from = settings.overload.whole_answer;
+  links_.longest_in_parts = settings.overload.longest_answer;
+  links_.cancels = overload::CancelRules(settings.overload);
   links_.dial_time_out = settings.settings.config.dial_time_out;
   links_.free_a_connection = [this] {
     if (engine_->free_a_connection()) return;
@@ -63,8 +67,14 @@
   discovery_ = std::make_unique<Discovery>(io_, names_, settings.discovery, settings.known.revision,
                                            !must_ask, told.seed, *engine_);
   engine_->start(*discovery_, settings.known);
+  std::vector<bool> spared;
+  for (const std::string& name : names_.classes)
+    spared.push_back(std::find(settings.overload.spared.begin(), settings.overload.spared.end(), name) !=
+                     settings.overload.spared.end());
+  admission_ =
+      std::make_unique<Admission>(io_, settings.overload, told.config, settings.cores, std::move(spared));
   http_ = std::make_unique<Clients>(io_, clock_, names_, *engine_, settings.listen, descriptors_,
-                                    settings.overload);
+                                    settings.overload, *admission_);
   engine_->add(*http_);
   if (!must_ask) discovery_->watch();
   every_ten_seconds();
@@ -97,8 +107,13 @@
 }
 
 std::string Host::summary() const {
-  std::string out = engine_->summary(" dials=" + std::to_string(links_.dials) +
-                                     " open=" + std::to_string(links_.connections) + " " + http_->summary());
+  std::string out = engine_->summary(
+      " dials=" + std::to_string(links_.dials) + " open=" + std::to_string(links_.connections) +
+      " drained=" + std::to_string(links_.drains.begun) + " reused=" + std::to_string(links_.drains.reused) +
+      " streams=" + std::to_string(links_.streams.begun) + " cut=" + std::to_string(links_.streams.cut) +
+      " " + http_->summary());
+  out += " late_us=" + std::to_string(admission_->pressure().late()) +
+         " behind=" + std::to_string(admission_->pressure().windows_behind());
 #ifdef STREAMPICK_WITH_RESP
   if (resp_) out += " resp: " + resp_->summary();
   if (resp_servers_) out += " resp servers: " + resp_counts_.summary();
--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -43,6 +43,7 @@
   const Engine::Counts& counts() const { return engine_->counts(); }
   std::size_t servers() const { return engine_->servers(); }  // the most that were known at a time
   Links& links() { return links_; }
+  const Admission& admission() const { return *admission_; }
   const overload::Descriptors& descriptors() const { return descriptors_; }
   std::string summary() const;
 
@@ -58,6 +59,7 @@
   Links links_;
   std::unique_ptr<Engine> engine_;
   std::unique_ptr<Discovery> discovery_;
+  std::unique_ptr<Admission> admission_;
   std::unique_ptr<Clients> http_;
 #ifdef STREAMPICK_WITH_RESP
   std::optional<resp::ServerOptions> resp_servers_;
--- a/src/daemon/node_settings.cpp
+++ b/src/daemon/node_settings.cpp
@@ -72,6 +72,7 @@
   if (config.contains("seed")) out.settings.seed = parse_seed(config.at("seed"));
   out.sockets = kSocketsUnlessTold;
   out.memory_mb = kMemoryMbUnlessTold;
+  if (config.contains("limits")) out.cores = config.at("limits").value("cores", 1.0);
   if (config.contains("limits")) out.memory_mb = config.at("limits").value("memory_mb", kMemoryMbUnlessTold);
   if (config.contains("limits")) out.sockets = config.at("limits").value("sockets", kSocketsUnlessTold);
   if (config.contains("known") && !config.at("known").is_null())
--- a/src/daemon/node_settings.h
+++ b/src/daemon/node_settings.h
@@ -18,6 +18,7 @@
   boost::asio::ip::tcp::endpoint listen, discovery;
   std::size_t sockets = 0;  // file descriptors this process may hold
   std::size_t memory_mb = 0;
+  double cores = 1;  // of the processor, at most
   MemberList known;
   overload::Settings overload;  // the operator's
 };
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -30,6 +30,9 @@
 
 void resolve(Options& options, NodeSettings& node) {
   node.overload = options.overload;
+  for (const std::string& name : options.overload.spared)
+    if (index_of(node.settings.names.classes, name) == kNone)
+      throw options::Error(options.file + ": overload.spared: the platform has no class " + name);
 #ifdef STREAMPICK_WITH_RESP
   const auto limits = descriptor_limits(node);
   resp::resolve(options.resp, node.settings, options.file, limits.total - limits.servers_floor);
@@ -41,7 +44,10 @@
   const overload::Settings& limits = options.overload;
   out << "overload: floors " << limits.clients_floor << " and " << limits.servers_floor << ", a crowd from "
       << limits.crowd << " on, idle " << limits.calm_idle / 1000 << " ms, " << limits.crowded_idle / 1000
-      << " ms in a crowd\n";
+      << " ms in a crowd\n"
+      << "overload: behind from " << limits.late / 1000 << " ms on, cancelled attempts waited for "
+      << limits.drain_wait / 1000 << " ms, answers passed on in parts from " << limits.whole_answer
+      << " bytes on, up to " << limits.longest_answer << "\n";
 #ifdef STREAMPICK_WITH_RESP
   out << resp::describe(options.resp);
 #else
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -83,7 +83,7 @@
   const Attempt& ends = found->second.attempts[attempt];
   if (!ends.live) return;
   ++counts_.cancels;
-  servers_[ends.server].transport->forget({request, attempt});
+  servers_[ends.server].transport->forget({request, attempt}, Transport::Forget::unwanted);
   ended_.push_back({{request, attempt}, Outcome::cancelled});
 }
 
@@ -310,7 +310,7 @@
       continue;
     }
     Attempt& attempt = requests_.at(request).attempts[number];
-    servers_[attempt.server].transport->forget({request, number});
+    servers_[attempt.server].transport->forget({request, number}, Transport::Forget::overdue);
     ended_.push_back({{request, number}, Outcome::timeout});
   }
   settle();
@@ -341,6 +341,7 @@
                           : -1;  // -1: none
   for (const Server& server : servers_)
     if (server.transport) server.transport->close_idle(unused);
+  for (ServerId id = 0; id < servers_.size(); ++id) forget_if_gone(id);  // its last answer is through
   forget_txns();
   second_->set(time_.now() + kSecond);
   settle();
@@ -392,7 +393,7 @@
 
 void Engine::forget_if_gone(ServerId id) {
   Server& server = servers_[id];
-  if (!server.transport || server.listed || server.live > 0) return;
+  if (!server.transport || server.listed || server.live > 0 || server.transport->at_work()) return;
   ids_.erase(server.name);
   server = {};
   free_ids_.push_back(id);
@@ -445,7 +446,8 @@
 // bound, and drops what it has no room for.
 void Engine::store_back(const Open& open, const Answer& answer) {
   const Message& message = *open.message;
-  if (message.operation != Operation::read || !message.words.empty() || answer.form != Answer::Form::value)
+  if (message.operation != Operation::read || !message.words.empty() || answer.form != Answer::Form::value ||
+      answer.stream)
     return;
   if (!store_back_.may_store(open.key, open.asked)) return;
   for (const Attempt& attempt : open.attempts) {
--- a/src/engine/message.h
+++ b/src/engine/message.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "engine/body_stream.h"
 #include "streampick/router.h"
 
 namespace streampick::node {
@@ -33,6 +34,8 @@
   // The command word by word, where a key and a body don't say all of it. A server that can't read it may
   // still answer a plain read with the value.
   std::vector<std::string> words;
+  // Who asked can pass an answer's body on while it still comes.
+  bool in_parts = false;
 };
 
 // A part of the memory set aside for large bodies, given back when its holder goes.
@@ -65,6 +68,7 @@
   Lease lease = {};  // of a body over the usual size
   Form form = Form::value;
   std::int64_t count = 0;  // of Form::count
+  BodyReader stream = {};  // the body, where it comes in parts; `body` is empty then
 };
 
 struct AttemptId {
--- a/src/engine/transport.h
+++ b/src/engine/transport.h
@@ -22,10 +22,14 @@
   // "host:port"; what is open to another address is not used for anything new.
   virtual void set_address(const std::string& address) = 0;
   virtual void send(AttemptId attempt, std::shared_ptr<const Message> message, Time expires) = 0;
-  // Stops the attempt. No outcome follows.
-  virtual void forget(AttemptId attempt) = 0;
+  // Stops the attempt. No outcome follows. `unwanted`: nobody waits for its answer any more, which may well
+  // be on its way; `overdue`: none came in its time.
+  enum class Forget : std::uint8_t { unwanted, overdue };
+  virtual void forget(AttemptId attempt, Forget why) = 0;
   virtual void close_idle(Time unused_since) = 0;  // those last used then or before
   virtual bool close_oldest_idle() = 0;
+  // Whether part of an answer is still on its way through, its attempt having ended with its first byte.
+  virtual bool at_work() const { return false; }
   // Whether the server must be given, by us, what it missed and the source then answered.
   virtual bool wants_values() const { return false; }
   virtual void keep(const std::string& /*key*/, const std::string& /*value*/) {}
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -49,13 +49,14 @@
   std::string content_type, body;
   Time retry_after = 0;  // 0: no advice
   Lease lease = {};
+  BodyReader stream = {};  // the body, where it comes in parts
 };
 
 Response response_for(Reply reply) {
   switch (reply.kind) {
     case Reply::Kind::served:
-      return {200, std::move(reply.answer.content_type), std::move(reply.answer.body), 0,
-              std::move(reply.answer.lease)};
+      return {200, std::move(reply.answer.content_type), std::move(reply.answer.body),
+              0,   std::move(reply.answer.lease),        std::move(reply.answer.stream)};
     case Reply::Kind::refused:
       return {503, "text/plain", "refused; it is safe to try again\n", reply.retry_after, {}};
     case Reply::Kind::failed: break;
@@ -124,6 +125,7 @@
   out.message->idempotency_key = head.idempotency_key.value;
   out.message->content_type = head.content_type.value;
   out.message->body = std::move(body);
+  out.message->in_parts = true;
   return out;
 }
 
@@ -188,6 +190,7 @@
     error_code ignored;
     socket_.close(ignored);
     lease_ = {};
+    stream_.reset();
     const RequestId gone = state_ == State::asked ? std::exchange(request_, 0) : 0;
     const auto self = shared_from_this();
     owner.closed(place_, state_);
@@ -197,6 +200,7 @@
   }
   void detach() {
     owner_ = nullptr;
+    stream_.reset();
     error_code ignored;
     socket_.close(ignored);
   }
@@ -211,7 +215,7 @@
 
   void next_message() {
     parser_.emplace(head_, in_body_, kLongestBody);
-    told_to_go_on_ = checked_ = false;
+    told_to_go_on_ = checked_ = weighed_ = false;
   }
 
   void wait() {
@@ -236,6 +240,7 @@
       if (discarded_ > kMostDiscarded) close();
       return;
     }
+    owner_->admission_.touch();
     const std::string_view bytes(chunk_.data(), got);
     if (state_ == State::asked || state_ == State::writing) {
       ahead_ += bytes;
@@ -272,6 +277,7 @@
       answer(problem(400, "where the message ends is in doubt"));
       return used;
     }
+    if (parser_->is_header_done() && !std::exchange(weighed_, true) && shed()) return used;
     if (parser_->is_done()) {
       asked();
     } else if (parser_->is_header_done() && !told_to_go_on_ &&
@@ -284,6 +290,29 @@
     return used;
   }
 
+  // Turned away while the loop is behind: before a body is read, and before anything is made of the head.
+  // What can't be read of it is left to those who say what is wrong with it.
+  bool shed() {
+    const std::string_view target = origin_form(head_.target);
+    if (target.empty() || target.front() != '/') return false;
+    const std::string_view first = target.substr(1, target.find('/', 1) - 1);
+    const auto remaining = parse_seconds(head_.remaining.value);
+    const std::uint32_t request_class = index_of(owner_->names_.classes, first);
+    if (!remaining || request_class == kNone) return false;
+    const std::uint64_t id = hash_name(head_.txn.value);
+    if (!owner_->admission_.refuses(request_class, *remaining, id)) return false;
+    ++owner_->counts_.shed;
+    // A body that is still to come would have to be read first.
+    last_ = !parser_->is_done() || !parser_->keep_alive();
+    answer({503,
+            "text/plain",
+            "refused, the router is behind; it is safe to try again\n",
+            owner_->admission_.retry_after(id),
+            {},
+            {}});
+    return true;
+  }
+
   void asked() {
     last_ = !parser_->keep_alive();
     // The platform's question needs no Host: what it asks with is not written down.
@@ -316,6 +345,10 @@
       last_ = true;
       ++owner_->counts_.once;
     }
+    stream_ = std::move(reply.stream);
+    in_chunks_ = stream_ && !stream_->length() && head_.version != 10;
+    // Where nothing else marks the end of a body, the connection's does.
+    if (stream_ && !stream_->length() && head_.version == 10) last_ = true;
     out_head_ = head_.version == 10 ? "HTTP/1.0 " : "HTTP/1.1 ";
     append_number(out_head_, reply.status);
     out_head_.append(" ").append(reason(reply.status));
@@ -324,28 +357,43 @@
     if (reply.status == 405) out_head_ += "\r\nAllow: GET, PUT";
     if (last_ && head_.version != 10) out_head_ += "\r\nConnection: close";
     if (!last_ && head_.version == 10) out_head_ += "\r\nConnection: keep-alive";
-    append_number(out_head_.append("\r\nContent-Length: "), reply.body.size());
+    if (in_chunks_) {
+      out_head_ += "\r\nTransfer-Encoding: chunked";
+    } else if (!stream_) {
+      append_number(out_head_.append("\r\nContent-Length: "), reply.body.size());
+    } else if (stream_->length()) {
+      append_number(out_head_.append("\r\nContent-Length: "), *stream_->length());
+    }
     out_head_ += "\r\n\r\n";
     out_body_ = std::move(reply.body);
     lease_ = std::move(reply.lease);
     written_ = 0;
+    if (stream_)
+      stream_->came = [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (self && self->owner_ != nullptr && std::exchange(self->part_wanted_, false)) self->push();
+      };
     push();
   }
 
   // Writes what the socket takes; waits only when it takes no more.
   void push() {
-    while (owner_ != nullptr && written_ < out_head_.size() + out_body_.size()) {
-      error_code error;
-      written_ += write_rest(socket_, out_head_, out_body_, written_, error);
-      if (error == asio::error::would_block) {
-        socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
-          if (self->owner_ == nullptr) return;
-          if (failed) return self->close();
-          self->push();
-        });
-        return;
+    for (;;) {
+      while (owner_ != nullptr && written_ < out_head_.size() + out_body_.size()) {
+        error_code error;
+        written_ += write_rest(socket_, out_head_, out_body_, written_, error);
+        if (error == asio::error::would_block) {
+          socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
+            if (self->owner_ == nullptr) return;
+            if (failed) return self->close();
+            self->push();
+          });
+          return;
+        }
+        if (error) return end_soon();
       }
-      if (error) return end_soon();
+      if (owner_ == nullptr || !stream_) break;
+      if (!next_part()) return;
     }
     // Not from within the call that gave the answer: the next request may stand in the buffer.
     if (last_ || !ahead_.empty() || !waiting_) {
@@ -355,6 +403,37 @@
     }
   }
 
+  // Puts the next part of the body, or what marks its end, to be written. False: nothing is there yet, or
+  // nothing more will be.
+  bool next_part() {
+    out_head_.clear();
+    written_ = 0;
+    if (stream_->take(out_body_)) {
+      enter(State::writing);  // it moves
+      if (!in_chunks_) return true;
+      std::array<char, 20> size{};
+      out_head_.assign(size.data(),
+                       std::to_chars(size.data(), size.data() + size.size(), out_body_.size(), 16).ptr);
+      out_head_ += "\r\n";
+      out_body_ += "\r\n";
+      return true;
+    }
+    switch (stream_->state()) {
+      case BodyStream::State::open: part_wanted_ = true; return false;
+      case BodyStream::State::whole:
+        stream_.reset();
+        if (in_chunks_) out_head_ = "0\r\n\r\n";
+        return true;
+      case BodyStream::State::cut: break;
+    }
+    // The client must see that it is not whole, also where the end of the connection is the body's: by a
+    // reset.
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    end_soon();
+    return false;
+  }
+
   // A client that has gone: what is told of it must not come from within the engine's call.
   void end_soon() {
     asio::post(socket_.get_executor(), [self = shared_from_this()] { self->close(); });
@@ -385,26 +464,29 @@
   RequestHead head_;
   std::string in_body_, out_head_, out_body_;
   std::optional<RequestReader> parser_;
-  Lease lease_;  // of the answer's body
+  Lease lease_;        // of the answer's body
+  BodyReader stream_;  // the rest of it, where it comes in parts
   RequestId request_ = 0;
   Time since_;  // the last change of state
   std::size_t discarded_ = 0, written_ = 0, answers_ = 0;
   Queue::iterator place_;
   State state_ = State::fresh;
-  bool waiting_ = false, last_ = false, told_to_go_on_ = false, checked_ = false;
+  bool waiting_ = false, last_ = false, told_to_go_on_ = false, checked_ = false, weighed_ = false;
+  bool in_chunks_ = false, part_wanted_ = false;
   std::array<char, kChunk> chunk_;
 };
 
 Clients::Clients(asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
                  const tcp::endpoint& listen, overload::Descriptors& descriptors,
-                 const overload::Settings& limits)
+                 const overload::Settings& limits, Admission& admission)
     : clock_(clock),
       names_(names),
       requests_(requests),
       listener_(io, listen, *this),
       sweep_(io),
       descriptors_(descriptors),
-      rules_(descriptors.total(), limits) {
+      rules_(descriptors.total(), limits),
+      admission_(admission) {
   listener_.go_on();
   sweep();
 }
@@ -475,7 +557,8 @@
   return "clients=" + std::to_string(open_) + " accepted=" + std::to_string(counts_.accepted) +
          " spared=" + std::to_string(counts_.spared) + " expired=" + std::to_string(counts_.expired) +
          " waited=" + std::to_string(counts_.waited) + " unread=" + std::to_string(counts_.unread) +
-         " once=" + std::to_string(counts_.once) + " left=" + std::to_string(counts_.left);
+         " once=" + std::to_string(counts_.once) + " shed=" + std::to_string(counts_.shed) +
+         " left=" + std::to_string(counts_.left);
 }
 
 void Clients::drain() {
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "engine/front.h"
+#include "net/admission.h"
 #include "net/clock.h"
 #include "net/listener.h"
 #include "overload/connections.h"
@@ -30,13 +31,14 @@
     std::uint64_t waited = 0;   // times that the next connection had to wait for a place
     std::uint64_t unread = 0;   // answers 4xx: what can't be read or is not allowed
     std::uint64_t once = 0;     // ended behind their first answer, in a crowd
+    std::uint64_t shed = 0;     // turned away unread, the loop being behind
     std::uint64_t left = 0;     // clients that ended a connection with a request in work
   };
 
   // Throws boost::system::system_error when the address can't be listened on.
   Clients(boost::asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
           const boost::asio::ip::tcp::endpoint& listen, overload::Descriptors& descriptors,
-          const overload::Settings& limits);
+          const overload::Settings& limits, Admission& admission);
   ~Clients() override;
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
@@ -79,6 +81,7 @@
   static constexpr auto kSide = overload::Descriptors::Side::clients;
   overload::Descriptors& descriptors_;
   overload::ConnectionRules rules_;
+  Admission& admission_;
   std::size_t open_ = 0;
   Counts counts_;
   std::array<Queue, 6> queues_;
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -20,6 +20,8 @@
 inline constexpr std::size_t kLongestBody = 64 * 1024, kLongestHeader = 16 * 1024, kReadChunk = 8 * 1024;
 // The protocol has no body over 64 KiB, but servers were seen to answer with 350 KB, as good as any other.
 inline constexpr std::size_t kLongestAnswer = 1024 * 1024;
+// Of a body that is passed on as it comes: what waits between the two sides, at most.
+inline constexpr std::size_t kPartsWaiting = 64 * 1024;
 
 // Seconds with three decimals, as X-Remaining and Retry-After carry them, behind what `out` holds.
 inline void append_seconds(std::string& out, Time time) {
--- a/src/http1/reader.cpp
+++ b/src/http1/reader.cpp
@@ -72,7 +72,7 @@
 }
 
 template <bool IsRequest>
-MessageReader<IsRequest>::MessageReader(Head& head, std::string& body, std::size_t longest_body)
+MessageReader<IsRequest>::MessageReader(Head& head, std::string& body, std::uint64_t longest_body)
     : head_(head), body_(body) {
   head_.clear();
   body_.clear();
--- a/src/http1/reader.h
+++ b/src/http1/reader.h
@@ -62,7 +62,7 @@
 class MessageReader final : public http::basic_parser<IsRequest> {
  public:
   using Head = std::conditional_t<IsRequest, RequestHead, ResponseHead>;
-  MessageReader(Head& head, std::string& body, std::size_t longest_body);
+  MessageReader(Head& head, std::string& body, std::uint64_t longest_body);
 
   // Reads on until the message is whole, the bytes are used up or they can't be read; returns how many it
   // used. What it did not use is to be put again, with what follows it: a head is only read line by line.
--- a/src/http1/transport.cpp
+++ b/src/http1/transport.cpp
@@ -16,6 +16,9 @@
 constexpr int kMostInterim = 16;
 constexpr std::size_t kChunk = 16 * 1024;
 constexpr Time kRested = 1'000'000;
+constexpr std::chrono::seconds kStalled{5};  // without a byte of an answer that is passed on
+constexpr Time kStalledUs = std::chrono::microseconds(kStalled).count();
+constexpr double kForget = 0.05;  // of the usual time, with each answer
 
 // While a request is out the loop reads its socket: registered once, that costs no system call but the reads.
 // Between two requests nothing is read, so that what comes then stays where looking tells of it; on one that
@@ -58,6 +61,7 @@
 
   void start(Job job, Time now) {
     job_ = std::move(job);
+    began = now;
     early_ = false;
     interim_ = 0;
     next_answer();
@@ -89,6 +93,7 @@
   // Does not tell the owner.
   void close() {
     if (owner_ == nullptr) return;
+    if (stream_) end_stream(BodyStream::State::cut);
     owner_->links_.closed();
     owner_ = nullptr;
     error_code ignored;
@@ -97,7 +102,22 @@
   }
 
   const std::optional<Job>& job() const { return job_; }
-  Time last_used = 0;
+  Time last_used = 0, began = 0;
+
+  // Nobody waits for the answer any more. Whether it may be waited for, to use the connection again: the
+  // request must be out whole, and nothing of what came so far against it.
+  bool can_drain() const {
+    return job_ && whole() && !writing_ && !broken_ && !early_ && job_->message->operation == Operation::read;
+  }
+  void drain(Time longest) {
+    drained_ = true;
+    lease_ = {};
+    body_.clear();
+    timer_.expires_after(std::chrono::microseconds(longest));
+    timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+      if (!cancelled && self->owner_ != nullptr && self->drained_) self->owner_->drop(self);
+    });
+  }
 
  private:
   std::size_t length() const { return head_out_.size() + job_->message->body.size(); }
@@ -143,13 +163,13 @@
   }
 
   void next_answer() {
-    parser_.emplace(head_, body_, kLongestAnswer);
+    parser_.emplace(head_, body_, std::max<std::uint64_t>(kLongestAnswer, owner_->links_.longest_in_parts));
     lease_ = {};
     header_seen_ = false;
   }
 
   void wait() {
-    if (owner_ == nullptr || waiting_) return;
+    if (owner_ == nullptr || waiting_ || held_) return;
     waiting_ = true;
     socket_.async_read_some(asio::buffer(chunk_),
                             [self = shared_from_this()](error_code error, std::size_t got) {
@@ -159,7 +179,7 @@
   }
 
   void read(const error_code& error, std::size_t got) {
-    if (!job_) return owner_->drop(shared_from_this());  // closed, or bytes that nobody asked for
+    if (!job_ && !stream_) return owner_->drop(shared_from_this());  // closed, or what nobody asked for
     if (error) {
       // The head of an answer without a body says it all; a 200 that only the connection's end would mark
       // as whole may as well be cut short.
@@ -180,7 +200,7 @@
       all += bytes;
       parse(all);
     }
-    if (job_) wait();
+    if (job_ || stream_) wait();
   }
 
   void parse(std::string_view bytes) {
@@ -188,17 +208,25 @@
       error_code failed;
       bytes.remove_prefix(parser_->read(bytes, failed));
       if (failed) return spoilt(failed.message());
+      if (drained_) body_.clear();
       if (parser_->is_header_done() && !std::exchange(header_seen_, true)) {
         if (!head_.framing.plain(head_.version)) return spoilt("length in doubt");
-        const std::size_t length = parser_->content_length().value_or(0);
-        if (length > kLongestBody) {
-          auto lease = owner_->links_.lease(length);
-          if (!lease) return spoilt("no memory for its body");
-          lease_ = std::move(*lease);
+        const std::uint64_t length = parser_->content_length().value_or(0);
+        if (length > kLongestBody && !drained_) {
+          auto lease = length <= owner_->links_.parts_from && length <= kLongestAnswer
+                           ? owner_->links_.lease(static_cast<std::size_t>(length))
+                           : std::nullopt;
+          if (lease) {
+            lease_ = std::move(*lease);
+          } else if (!begin_parts()) {
+            return spoilt("no memory for its body, or too long");
+          }
         }
       }
-      if (header_seen_ && !parser_->content_length() && body_.size() > kLongestBody)
+      if (header_seen_ && !stream_ && !drained_ && !parser_->content_length() &&
+          body_.size() > kLongestBody && !begin_parts())
         return spoilt("a long body of no stated length");
+      if (owner_ == nullptr || (stream_ && !pass_on())) return;
       if (parser_->is_done()) {
         // An interim answer stands before the real one. By its number: to Beast's own table not every one
         // of them has a name, and 103 would be taken for the answer.
@@ -214,12 +242,104 @@
     }
   }
 
+  // From here on what comes of the body is passed on. The attempt has its answer: what happens to the rest
+  // happens to an answer that the client has begun to read.
+  bool begin_parts() {
+    const Links& links = owner_->links_;
+    const auto length = parser_->content_length();
+    if (!job_->message->in_parts || head_.status != 200) return false;
+    if (length && *length > links.longest_in_parts) return false;
+    auto lease = links.lease(kPartsWaiting);
+    if (!lease) return false;
+    lease_ = std::move(*lease);
+    stream_ = std::make_shared<BodyStream>(length ? std::optional<std::uint64_t>(*length) : std::nullopt,
+                                           kPartsWaiting);
+    const auto self = shared_from_this();
+    // Called by the reader, perhaps from within the engine: what they do waits for a turn of the loop.
+    const auto post = [weak = weak_from_this()](void (Connection::*what)()) {
+      if (const auto link = weak.lock())
+        asio::post(link->socket_.get_executor(), [link, what] { (link.get()->*what)(); });
+    };
+    stream_->room = [post] { post(&Connection::go_on); };
+    stream_->unwanted = [post] { post(&Connection::unwanted); };
+    Upstream& owner = *owner_;
+    ++owner.links_.streams.begun;
+    ++owner.links_.streams.open;
+    owner.busy_.erase(self);
+    owner.passing_.insert(self);
+    owner.answered_after(owner.clock_.now() - began);
+    Answer answer;
+    answer.content_type = head_.content_type.value;
+    answer.stream = BodyReader(stream_);
+    const AttemptId attempt = job_->attempt;
+    job_.reset();
+    watch_progress();
+    owner.end(attempt, Outcome::served, std::move(answer));
+    return true;
+  }
+
+  // False: this connection is read no further for now, or for good.
+  bool pass_on() {
+    if (owner_ == nullptr || !stream_) return false;
+    const bool whole = parser_->is_done();
+    if (stream_->passed() + body_.size() > owner_->links_.longest_in_parts)
+      return cut("it does not end"), false;
+    const bool more = stream_->put(body_);
+    body_.clear();
+    progress_ = owner_->clock_.now();
+    if (!whole) held_ = !more;
+    return true;
+  }
+  void go_on() {
+    if (owner_ == nullptr || !stream_ || !held_) return;
+    held_ = false;
+    progress_ = owner_->clock_.now();
+    wait();
+  }
+  void unwanted() {
+    if (owner_ == nullptr || !stream_) return;
+    ++owner_->links_.streams.left;
+    end_stream(BodyStream::State::cut);
+    owner_->drop(shared_from_this());
+  }
+  void cut(const std::string& why) {
+    log("answer from " + owner_->name_ + " cut: " + why);
+    ++owner_->links_.streams.cut;
+    const auto self = shared_from_this();
+    end_stream(BodyStream::State::cut);
+    owner_->drop(self);
+  }
+  void end_stream(BodyStream::State how) {
+    const auto stream = std::exchange(stream_, nullptr);
+    stream->room = stream->unwanted = nullptr;
+    --owner_->links_.streams.open;
+    lease_ = {};
+    held_ = false;
+    timer_.cancel();
+    stream->end(how);
+  }
+  // A server that stops in the midst of an answer; a client that does is its front's to end.
+  void watch_progress() {
+    progress_ = owner_->clock_.now();
+    timer_.expires_after(kStalled);
+    timer_.async_wait([self = shared_from_this()](error_code cancelled) {
+      if (cancelled || self->owner_ == nullptr || !self->stream_) return;
+      const bool stalled = !self->held_ && self->owner_->clock_.now() - self->progress_ >= kStalledUs;
+      if (stalled) return self->cut("nothing came for long");
+      const Time progress = self->progress_;
+      self->watch_progress();
+      self->progress_ = progress;
+    });
+  }
+
   void spoilt(const std::string& why) {
+    if (stream_) return cut(why);
     log("bad answer from " + owner_->name_ + ": " + why);
     finish(Outcome::spoilt, {}, false);
   }
 
   void answered(bool keep) {
+    if (stream_) return passed(keep);
     const unsigned status = head_.status;
     Outcome outcome = Outcome::error;
     Answer answer;
@@ -241,9 +361,22 @@
     finish(outcome, std::move(answer), keep);
   }
 
+  // The last part is on.
+  void passed(bool keep) {
+    Upstream& owner = *owner_;
+    const auto self = shared_from_this();
+    end_stream(BodyStream::State::whole);
+    body_ = {};
+    owner.passing_.erase(self);
+    if (!keep) return owner.drop(self);
+    last_used = owner.clock_.now();
+    owner.came_free(self);
+  }
+
   // While a write is under way nobody knows how much of the request has left: the verdict waits for
   // its end. To call it never sent too early would let a write run twice.
   void broke() {
+    if (stream_) return cut("its connection broke");
     broken_ = true;
     if (!writing_) finish(whole() ? Outcome::reset : Outcome::connect_failed, {}, false);
   }
@@ -262,8 +395,19 @@
     job_.reset();
     lease_ = {};
     body_ = {};
+    const Time now = owner.clock_.now();
+    if (outcome == Outcome::served || outcome == Outcome::miss) owner.answered_after(now - began);
+    if (drained_) {
+      drained_ = false;
+      timer_.cancel();
+      owner.stop_draining(self);
+      if (!keep) return owner.drop(self);
+      ++owner.links_.drains.reused;
+      last_used = now;
+      return owner.came_free(self);
+    }
     if (keep) {
-      last_used = owner.clock_.now();
+      last_used = now;
       owner.busy_.erase(self);
       owner.came_free(self);
     } else {
@@ -283,9 +427,12 @@
   std::string body_;
   std::optional<ResponseReader> parser_;
   Lease lease_;
+  std::shared_ptr<BodyStream> stream_;  // where the body goes that comes in parts
+  Time progress_ = 0;                   // when it last moved
   int interim_ = 0;
   bool header_seen_ = false;
-  bool made_ = false, waiting_ = false, writing_ = false, broken_ = false, early_ = false;
+  bool made_ = false, waiting_ = false, writing_ = false, broken_ = false, early_ = false, drained_ = false,
+       held_ = false;
   std::array<char, kChunk> chunk_;
 };
 
@@ -300,7 +447,13 @@
 Upstream::~Upstream() {
   for (const Link& link : idle_) link->close();
   for (const Link& link : busy_) link->close();
+  for (const Link& link : draining_) {
+    --links_.draining;
+    link->close();
+  }
   for (const Link& link : dialling_) link->close();
+  const auto passing = std::exchange(passing_, {});
+  for (const Link& link : passing) link->close();
 }
 
 void Upstream::set_address(const std::string& address) {
@@ -384,11 +537,16 @@
 
 void Upstream::drop(const Link& link) {
   const Link keep = link;
+  stop_draining(keep);
   keep->close();
-  if (busy_.erase(keep) + dialling_.erase(keep) == 0) std::erase(idle_, keep);
+  if (passing_.erase(keep) + busy_.erase(keep) + dialling_.erase(keep) == 0) std::erase(idle_, keep);
+}
+
+void Upstream::stop_draining(const Link& link) {
+  if (draining_.erase(link) > 0) --links_.draining;
 }
 
-void Upstream::forget(AttemptId attempt) {
+void Upstream::forget(AttemptId attempt, Forget why) {
   const auto job = std::find_if(waiting_.begin(), waiting_.end(),
                                 [&](const Job& waits) { return waits.attempt == attempt; });
   if (job != waiting_.end()) {
@@ -398,7 +556,22 @@
   const auto link = std::find_if(busy_.begin(), busy_.end(), [&](const Link& busy) {
     return busy->job() && busy->job()->attempt == attempt;
   });
-  if (link != busy_.end()) drop(*link);
+  if (link == busy_.end()) return;
+  const Link found = *link;
+  const overload::CancelRules::Attempt facts{.waited = clock_.now() - found->began,
+                                             .usual = static_cast<Time>(usual_),
+                                             .draining = links_.draining,
+                                             .connections = links_.connections,
+                                             .here = draining_.size()};
+  const Time longest = why == Forget::unwanted && found->can_drain() && clock_.now() < nothing_from_
+                           ? links_.cancels.wait(facts)
+                           : 0;
+  if (longest <= 0) return drop(found);
+  busy_.erase(found);
+  draining_.insert(found);
+  ++links_.draining;
+  ++links_.drains.begun;
+  found->drain(longest);
 }
 
 void Upstream::close_idle(Time unused_since) {
@@ -408,9 +581,15 @@
     link->close();
     return true;
   });
+  if (unused_since == kNever)
+    while (!draining_.empty()) drop(*draining_.begin());
 }
 
 bool Upstream::close_oldest_idle() {
+  if (!draining_.empty()) {
+    drop(*draining_.begin());
+    return true;
+  }
   if (idle_.empty()) return false;
   const auto oldest = std::min_element(
       idle_.begin(), idle_.end(), [](const Link& a, const Link& b) { return a->last_used < b->last_used; });
@@ -419,6 +598,10 @@
   return true;
 }
 
+void Upstream::answered_after(Time took) {
+  usual_ += (static_cast<double>(took) - usual_) * (usual_ > 0 ? kForget : 1);
+}
+
 void Upstream::end(AttemptId attempt, Outcome outcome, Answer answer) {
   outcomes_.attempt_ended(attempt, outcome, std::move(answer));
 }
--- a/src/http1/transport.h
+++ b/src/http1/transport.h
@@ -27,10 +27,11 @@
 
   void set_address(const std::string& address) override;
   void send(AttemptId attempt, std::shared_ptr<const Message> message, Time expires) override;
-  // Closes the attempt's connection if it was on one.
-  void forget(AttemptId attempt) override;
+  // Drains the attempt's connection if the rules allow it, and closes it otherwise.
+  void forget(AttemptId attempt, Forget why) override;
   void close_idle(Time unused_since) override;
   bool close_oldest_idle() override;
+  bool at_work() const override { return !passing_.empty(); }
 
  private:
   class Connection;
@@ -46,6 +47,8 @@
   void came_free(const Link& link);
   void dial_failed(const Link& link);
   void drop(const Link& link);
+  void stop_draining(const Link& link);
+  void answered_after(Time took);
   void end(AttemptId attempt, Outcome outcome, Answer answer = {});
   void end_soon(AttemptId attempt, Outcome outcome);
 
@@ -57,8 +60,11 @@
   boost::asio::ip::tcp::endpoint address_;
   std::vector<Link> idle_;  // the most recently used last
   std::unordered_set<Link> busy_, dialling_;
-  std::deque<Job> waiting_;      // for a connection
-  std::shared_ptr<bool> alive_;  // posted handlers hold it weakly
+  std::unordered_set<Link> draining_;  // the answer on its way is nobody's; then they are used again
+  std::unordered_set<Link> passing_;   // an answer that comes in parts is on its way through
+  double usual_ = 0;                   // us from a request to its answer here, of late; 0: none came yet
+  std::deque<Job> waiting_;            // for a connection
+  std::shared_ptr<bool> alive_;        // posted handlers hold it weakly
 };
 
 }  // namespace streampick::node
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "engine/message.h"
+#include "overload/cancelled.h"
 #include "overload/descriptors.h"
 #include "streampick/router.h"
 
@@ -27,6 +28,15 @@
     return Lease(large, bytes);
   }
 
+  // A body over this many bytes is passed on as it comes, and so is one that there is no memory for; what is
+  // read whole can be asked for again when it breaks. And the longest that is passed on at all.
+  std::size_t parts_from = 1024 * 1024;
+  std::uint64_t longest_in_parts = 1024 * 1024;
+  struct Streams {
+    std::uint64_t begun = 0, cut = 0, left = 0;
+    std::size_t open = 0;
+  } streams;
+
   std::size_t connections = 0;
   std::size_t most_connections = 0;              // where nothing is shared with clients
   overload::Descriptors* descriptors = nullptr;  // ... and where it is, the budget
@@ -42,6 +52,11 @@
     --connections;
     if (descriptors != nullptr) descriptors->give(overload::Descriptors::Side::servers);
   }
+  overload::CancelRules cancels;
+  std::size_t draining = 0;  // connections that wait for an answer nobody wants
+  struct Drains {
+    std::uint64_t begun = 0, reused = 0;
+  } drains;
   Time dial_time_out = 0;
   std::uint64_t dials = 0;
   // Called when the descriptors for servers are used up: closes what is idle, to a server or of a client.
--- a/src/overload/options.cpp
+++ b/src/overload/options.cpp
@@ -12,6 +12,16 @@
   table.integer("calm_idle_ms", out.calm_idle, 100, 86'400'000, 1000);
   table.integer("crowded_idle_ms", out.crowded_idle, 100, 86'400'000, 1000);
   if (out.crowded_idle > out.calm_idle) table.wrong("crowded_idle_ms", "it is longer than calm_idle_ms");
+  table.integer("late_ms", out.late, 0, 10'000, 1000);
+  table.number("busy", out.busy, 0.1, 1.5);
+  table.texts("spared", out.spared);
+  table.integer("drain_wait_ms", out.drain_wait, 0, 10'000, 1000);
+  table.number("drain_share", out.drain_share, 0, 1);
+  table.integer("drain_here", out.drain_here, 0, 1'000);
+  table.integer("whole_answer_bytes", out.whole_answer, 64 * 1024, 1024 * 1024);
+  table.integer("longest_answer_bytes", out.longest_answer, 64 * 1024, 1LL << 40);
+  if (out.longest_answer < out.whole_answer)
+    table.wrong("longest_answer_bytes", "it is less than whole_answer_bytes");
   table.no_others();
   return out;
 }
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -1,6 +1,8 @@
 #include "resp/front.h"
 
 #include <poll.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 #include <algorithm>
 #include <array>
@@ -222,11 +224,18 @@
     const FrontSettings& settings = owner_->settings_;
     const bool write = is_write(ask.part.operation);
     const std::uint32_t kind = write ? settings.write_class : settings.read_class;
+    const Time patience = ask.patience > 0 ? ask.patience : kAnyPatience;
+    if (owner_->admission_ != nullptr &&
+        owner_->admission_->refuses(kind, patience, owner_->last_id_ + ask.tag)) {
+      ++owner_->counts_.shed;
+      const Time after = owner_->admission_->retry_after(owner_->last_id_ + ask.tag);
+      return conversation_.answered(ask.tag, {.kind = node::Reply::Kind::refused, .retry_after = after});
+    }
     node::Incoming incoming;
     incoming.tag = ask.tag;
     incoming.request_class = kind;
     incoming.tenant = ask.tenant.empty() ? kNone : index_of(owner_->names_.tenants, ask.tenant);
-    incoming.remaining = ask.patience > 0 ? ask.patience : kAnyPatience;
+    incoming.remaining = patience;
     incoming.has_key = true;
     const std::string escaped = escape_key(ask.part.key);
     incoming.key = key_number(escaped);
@@ -275,6 +284,7 @@
       return false;
     }
     if (stopping_) to_read_ -= got;
+    if (owner_->admission_ != nullptr) owner_->admission_->touch();
     // Most often all of it is used at once: a connection that waits holds no buffer.
     const std::string_view bytes(scratch.data(), got);
     const std::size_t used = consume(bytes);
@@ -381,13 +391,14 @@
 
 RespFront::RespFront(asio::io_context& io, node::TimeSource& time, const Names& names,
                      node::Requests& requests, const FrontSettings& settings,
-                     overload::Descriptors* descriptors)
+                     overload::Descriptors* descriptors, node::Admission* admission)
     : io_(io),
       time_(time),
       names_(names),
       requests_(requests),
       settings_(settings),
       descriptors_(descriptors),
+      admission_(admission),
       listener_(io, settings.listen, *this),
       sweep_(io),
       scratch_(kScratch),
@@ -402,12 +413,10 @@
   for (const auto& session : sessions_) session->detach();
 }
 
-// Ids that no other router's are likely to equal, and no two of ours: a bijection of a counter.
+// Ids that no other router's are likely to equal, nor another of ours: a hash of a counter from a seed on.
 std::uint64_t RespFront::next_id() {
-  std::uint64_t z = last_id_ += 0x9e3779b97f4a7c15U;
-  z = (z ^ (z >> 30U)) * 0xbf58476d1ce4e5b9U;
-  z = (z ^ (z >> 27U)) * 0x94d049bb133111ebU;
-  return z ^ (z >> 31U);
+  ++last_id_;
+  return XXH3_64bits(&last_id_, sizeof last_id_);
 }
 
 void RespFront::take(tcp::socket socket) {
@@ -485,7 +494,8 @@
 std::string RespFront::summary() const {
   return "clients=" + std::to_string(open()) + " accepted=" + std::to_string(counts_.accepted) +
          " commands=" + std::to_string(counts_.commands) + " requests=" + std::to_string(counts_.requests) +
-         " bad=" + std::to_string(counts_.bad) + " turned_away=" + std::to_string(counts_.turned_away);
+         " bad=" + std::to_string(counts_.bad) + " turned_away=" + std::to_string(counts_.turned_away) +
+         " shed=" + std::to_string(counts_.shed);
 }
 
 void RespFront::sweep() {
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -12,6 +12,7 @@
 
 #include "engine/front.h"
 #include "engine/time.h"
+#include "net/admission.h"
 #include "net/listener.h"
 #include "overload/descriptors.h"
 #include "resp/conversation.h"
@@ -34,11 +35,13 @@
  public:
   struct Counts {
     std::uint64_t accepted = 0, turned_away = 0, commands = 0, requests = 0, bad = 0;
+    std::uint64_t shed = 0;  // refused before anything was made of them, the loop being behind
   };
 
   // Throws boost::system::system_error when the address can't be listened on.
   RespFront(boost::asio::io_context& io, node::TimeSource& time, const Names& names, node::Requests& requests,
-            const FrontSettings& settings, overload::Descriptors* descriptors = nullptr);
+            const FrontSettings& settings, overload::Descriptors* descriptors = nullptr,
+            node::Admission* admission = nullptr);
   ~RespFront() override;
   RespFront(const RespFront&) = delete;
   RespFront& operator=(const RespFront&) = delete;
@@ -75,6 +78,7 @@
   node::Requests& requests_;
   FrontSettings settings_;
   overload::Descriptors* descriptors_;  // shared with other fronts; none: only its own limit holds
+  node::Admission* admission_;          // none: nothing is refused for the loop's sake
   node::Listener listener_;
   boost::asio::steady_timer sweep_;
   Sessions sessions_;
--- a/src/resp/transport.cpp
+++ b/src/resp/transport.cpp
@@ -339,7 +339,7 @@
   std::erase(connections_, keep);
 }
 
-void RespTransport::forget(AttemptId attempt) {
+void RespTransport::forget(AttemptId attempt, Forget) {
   const auto job = std::find_if(waiting_.begin(), waiting_.end(),
                                 [&](const Job& waits) { return waits.attempt == attempt; });
   if (job != waiting_.end()) {
--- a/src/standin/http_cache.cpp
+++ b/src/standin/http_cache.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <cstdlib>
+#include <functional>
+#include <string_view>
 #include <utility>
 
 namespace streampick::standin {
@@ -34,7 +36,21 @@
     error_code ignored;
     socket_.close(ignored);
     owner.connections_.erase(shared_from_this());
+    if (std::exchange(at_work_, false)) owner.came_free();
   }
+  // Its turn in the line.
+  void work() {
+    at_work_ = true;
+    ++owner_->at_work_;
+    timer_.expires_after(owner_->delay.load());
+    timer_.async_wait([self = shared_from_this()](error_code) {
+      if (self->owner_ == nullptr || !std::exchange(self->at_work_, false)) return;
+      HttpCache& owner = *self->owner_;
+      self->write();
+      owner.came_free();
+    });
+  }
+  bool open() const { return owner_ != nullptr; }
   void detach() {
     owner_ = nullptr;
     error_code ignored;
@@ -52,14 +68,28 @@
         length = std::strtoul(in_.c_str() + at + 16, nullptr, 10);
       if (in_.size() < head + 4 + length) break;
       const bool write = in_.rfind("PUT", 0) == 0;
+      const std::size_t target = in_.find(' ');
+      const std::uint64_t key = std::hash<std::string_view>{}(
+          std::string_view(in_).substr(target, in_.find(' ', target + 1) - target));
       in_.erase(0, head + 4 + length);
       ++owner_->requests;
-      const std::string& value = owner_->value_;
+      const bool lacks = owner_->keys > 0 && !write && key % owner_->keys == 0;
+      const std::string value = lacks ? "" : owner_->value_;
       const std::string body = write ? "" : value;
       out_ += (write || !value.empty() ? "HTTP/1.1 200 OK" : "HTTP/1.1 404 Not Found");
       out_ += "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     }
     if (out_.empty()) return read();
+    if (owner_->slots > 0) {
+      if (owner_->at_work_ < owner_->slots) return work();
+      if (owner_->in_line_.size() < owner_->line) {
+        owner_->in_line_.push_back(weak_from_this());
+        return;
+      }
+      ++owner_->turned_away;
+      out_ = "HTTP/1.1 503 Full\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n";
+      return write();
+    }
     const auto delay = owner_->delay.load();
     if (delay.count() == 0) return write();
     timer_.expires_after(delay);
@@ -80,6 +110,7 @@
   asio::steady_timer timer_;
   std::array<char, 16 * 1024> chunk_{};
   std::string in_, out_;
+  bool at_work_ = false;
 };
 
 HttpCache::HttpCache(asio::io_context& io, std::string value)
@@ -95,6 +126,15 @@
   return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
 }
 
+void HttpCache::came_free() {
+  --at_work_;
+  while (!in_line_.empty() && at_work_ < slots) {
+    const auto next = in_line_.front().lock();
+    in_line_.pop_front();
+    if (next && next->open()) next->work();  // else it has gone meanwhile
+  }
+}
+
 void HttpCache::accept() {
   acceptor_.async_accept([this](error_code error, tcp::socket socket) {
     if (error) return;
--- a/src/standin/http_cache.h
+++ b/src/standin/http_cache.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <set>
 #include <string>
@@ -23,14 +24,22 @@
   std::string address() const;
   std::uint64_t requests = 0;
   std::atomic<std::chrono::milliseconds> delay{};  // before each answer; may be set from another thread
+  // A server of a bounded strength: so many requests at work at once, each for `delay`, so many in line
+  // behind them, and what comes then is turned away. 0 slots: no bound. Set before the first request.
+  std::size_t slots = 0, line = 0;
+  std::uint64_t turned_away = 0;
+  std::uint64_t keys = 0;  // holds only that share of keys: those whose hash is no multiple of it; 0: all
 
  private:
   class Connection;
   void accept();
+  void came_free();
   boost::asio::io_context& io_;
   std::string value_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::set<std::shared_ptr<Connection>> connections_;
+  std::size_t at_work_ = 0;
+  std::deque<std::weak_ptr<Connection>> in_line_;
 };
 
 }  // namespace streampick::standin
--- a/tests/engine/hand_driven.h
+++ b/tests/engine/hand_driven.h
@@ -80,7 +80,7 @@
     void send(AttemptId attempt, std::shared_ptr<const Message> message, Time) override {
       owner_.sent.push_back({name_, attempt, std::move(message), owner_.time_.now()});
     }
-    void forget(AttemptId attempt) override {
+    void forget(AttemptId attempt, Forget) override {
       for (Sent& sent : owner_.sent)
         if (sent.attempt == attempt) sent.forgotten = true;
     }
--- /dev/null
+++ b/tests/http1/parts_test.cpp
@@ -0,0 +1,254 @@
+// Answers that are passed on as they come, and connections of cancelled attempts, over loopback sockets.
+#include "loopback.h"
+
+namespace streampick::node::test {
+namespace {
+
+std::string pattern(std::size_t size) {
+  std::string out(size, '\0');
+  for (std::size_t i = 0; i < size; ++i) out[i] = static_cast<char>((i * 2654435761U) >> 13U);
+  return out;
+}
+
+class Parts : public Loopback {
+ protected:
+  void begin(std::size_t whole = 64 * 1024, std::uint64_t longest = 64 << 20) {
+    settings = parse_settings(
+        config_json(
+            text_of(discovery.local_endpoint()),
+            list_json(1, true, {{"s-cache", cache.address()}, {"s-origin", origin.address(), "origin"}}))
+            .dump());
+    settings.overload.whole_answer = whole;
+    settings.overload.longest_answer = longest;
+    host = std::make_unique<Host>(io, clock, settings);
+  }
+  std::string head(std::size_t length) {
+    return "HTTP/1.1 200 X\r\nContent-Type: image/x\r\nContent-Length: " + std::to_string(length) +
+           "\r\n\r\n";
+  }
+  // A client that reads only when told to.
+  tcp::socket asks(const std::string& text) {
+    tcp::socket socket(io);
+    socket.connect(host->address());
+    asio::write(socket, asio::buffer(text));
+    return socket;
+  }
+  // What came to the client by its end.
+  std::string rest_of(tcp::socket& socket) {
+    std::string out;
+    std::array<char, 65536> chunk{};
+    bool ended = false;
+    std::function<void()> next = [&] {
+      socket.async_read_some(asio::buffer(chunk), [&](error_code error, std::size_t got) {
+        out.append(chunk.data(), got);
+        error ? void(ended = true) : next();
+      });
+    };
+    next();
+    EXPECT_TRUE(wait_for([&] { return ended; }));
+    return out;
+  }
+  // Ends the connection behind its answer, so that its end can be waited for.
+  static std::string a_last_read() {
+    return request_text("GET", "/read/7f3a9c21e0b4d655", "read", "", "8.0", "Connection: close\r\n");
+  }
+  const Links::Streams& streams() { return host->links().streams; }
+};
+
+TEST_F(Parts, TheFirstPartIsPassedOnWhileTheRestIsStillToCome) {
+  begin();
+  const std::string body = pattern(300'000);
+  const auto one = client();
+  one->ask(a_read());
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  cache.peers[0]->write(head(body.size()) + body.substr(0, 70'000));
+  ASSERT_TRUE(wait_for([&] { return one->peer->got.size() > 70'000; }));
+  EXPECT_TRUE(one->answers.empty());
+  EXPECT_EQ(host->counts().served, 1U);
+  cache.peers[0]->write(body.substr(70'000));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->body(), body);
+  EXPECT_NE(one->answers[0].find("Content-Type: image/x"), std::string::npos);
+  EXPECT_EQ(streams().open, 0U);
+  EXPECT_EQ(*host->links().large, 0U);
+  // Both connections are used again.
+  cache.answer = [](const std::string&) { return response(200, "small"); };
+  one->ask(a_read());
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 2; }));
+  EXPECT_EQ(one->body(1), "small");
+  EXPECT_EQ(cache.peers.size(), 1U);
+}
+
+TEST_F(Parts, ASlowReaderHoldsTheServerBackAndWhatWaitsIsBounded) {
+  begin();
+  const std::string body = pattern(48 << 20);
+  tcp::socket slow = asks(a_last_read());
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  const std::string answer = head(body.size()) + body;
+  std::size_t written = 0;
+  std::function<void()> more = [&] {
+    if (written == answer.size()) return;
+    const std::size_t part = std::min<std::size_t>(answer.size() - written, 65'536);
+    cache.peers[0]->socket.async_write_some(asio::buffer(answer.data() + written, part),
+                                            [&](error_code error, std::size_t took) {
+                                              written += took;
+                                              if (!error) more();
+                                            });
+  };
+  more();
+  // Until nothing moves: the kernel's buffers are full on both sides.
+  for (std::size_t before = 1; before != written;) {
+    before = written;
+    quiet(200);
+  }
+  EXPECT_LT(written, answer.size());
+  EXPECT_EQ(*host->links().large, 64U * 1024);
+  const std::string got = rest_of(slow);
+  ASSERT_EQ(got.size() - got.find("\r\n\r\n") - 4, body.size());
+  EXPECT_TRUE(got.substr(got.find("\r\n\r\n") + 4) == body);
+  EXPECT_EQ(*host->links().large, 0U);
+}
+
+TEST_F(Parts, AnAnswerThatBreaksInItsMidstIsSeenToBeCutAndIsNotAskedForAgain) {
+  begin();
+  tcp::socket one = asks(a_last_read());
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  cache.peers[0]->write(head(200'000) + pattern(100'000));
+  ASSERT_TRUE(wait_for([&] { return streams().begun == 1; }));
+  cache.peers[0]->close();
+  const std::string got = rest_of(one);
+  EXPECT_LT(got.size(), 200'000U);
+  EXPECT_EQ(streams().cut, 1U);
+  EXPECT_EQ(streams().open, 0U);
+  EXPECT_EQ(cache.requests.size(), 1U);
+  EXPECT_TRUE(origin.requests.empty());
+  EXPECT_EQ(host->counts().served + host->counts().failed + host->counts().refused, 1U);
+}
+
+TEST_F(Parts, WithoutALengthItGoesOnInChunksAndACutEndsWithoutTheLastOne) {
+  begin();
+  for (const bool cut : {false, true}) {
+    tcp::socket one = asks(a_last_read());
+    ASSERT_TRUE(wait_for([&] { return cache.requests.size() == (cut ? 2U : 1U); }));
+    const std::string body = pattern(100'000);
+    char size[16];
+    std::snprintf(size, sizeof size, "%zx\r\n", body.size());
+    auto& peer = *cache.peers.back();
+    peer.write(std::string("HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n") + size + body + "\r\n");
+    if (!cut) peer.write("0\r\n\r\n");
+    if (cut) {
+      ASSERT_TRUE(wait_for([&] { return streams().begun == 2; }));
+      peer.close();
+    }
+    const std::string got = rest_of(one);
+    EXPECT_NE(got.find("Transfer-Encoding: chunked"), std::string::npos);
+    const bool whole = got.size() > 7 && got.substr(got.size() - 7) == "\r\n0\r\n\r\n";
+    EXPECT_EQ(whole, !cut);
+  }
+  EXPECT_EQ(streams().cut, 1U);
+}
+
+TEST_F(Parts, AClientThatGoesInTheMidstEndsTheServersConnectionToo) {
+  begin();
+  tcp::socket one = asks(a_read());
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  cache.peers[0]->write(head(1 << 20) + pattern(100'000));
+  ASSERT_TRUE(wait_for([&] { return streams().begun == 1; }));
+  one.close();
+  ASSERT_TRUE(wait_for([&] { return cache.open() == 0 && streams().open == 0; }));
+  EXPECT_EQ(streams().left, 1U);
+  EXPECT_EQ(host->links().connections, 0U);
+  EXPECT_EQ(*host->links().large, 0U);
+}
+
+TEST_F(Parts, AServerThatLeavesTheListFinishesTheAnswerItHasBegun) {
+  begin();
+  accept_watch();
+  begin_watch();
+  const std::string body = pattern(200'000);
+  const auto one = client();
+  one->ask(a_read());
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  cache.peers[0]->write(head(body.size()) + body.substr(0, 100'000));
+  ASSERT_TRUE(wait_for([&] { return streams().begun == 1; }));
+  chunk(list_json(2, false, {{"s-cache", cache.address(), "box", "terminated"}}).dump() + "\n");
+  quiet(1'500);  // a second's round has looked at what can be forgotten
+  cache.peers[0]->write(body.substr(100'000));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->body(), body);
+}
+
+TEST_F(Parts, WhatIsLongerThanWasSetIsSpoiltAndWhatHasNoMemoryIsPassedOnInParts) {
+  begin(1 << 20, 1 << 20);
+  cache.answer = [&](const std::string&) { return head(2 << 20) + "x"; };
+  const auto one = client();
+  one->ask(request_text("GET", "/read/1", "read", "", "0.8"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_NE(one->status(), 200);
+  EXPECT_GT(host->counts().outcomes[static_cast<std::size_t>(Outcome::spoilt)], 0U);
+  const std::string body = pattern(500'000);
+  cache.answer = [&](const std::string&) { return response(200, body); };
+  host->links().most_large = 100'000;  // for one part that waits, not for the whole
+  one->ask(a_read());
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 2; }));
+  EXPECT_EQ(one->body(1), body);
+  EXPECT_EQ(streams().begun, 1U);
+}
+
+// ---- Connections of cancelled attempts
+
+class Cancelled : public Loopback {
+ protected:
+  // One read served, so that the server's usual time is known, then one that its client leaves. `usual`: how
+  // long the first one took, in ms.
+  void leave(int usual) {
+    start();
+    const auto first = client();
+    first->ask(a_read());
+    ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+    quiet(usual);
+    cache.peers[0]->write(response(200, "x"));
+    ASSERT_TRUE(wait_for([&] { return first->answers.size() == 1; }));
+    {
+      const auto gone = client();
+      gone->ask(a_read());
+      ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 2; }));
+    }
+    ASSERT_TRUE(wait_for([&] { return host->counts().withdrawn == 1; }));
+  }
+};
+
+TEST_F(Cancelled, ItsConnectionIsUsedAgainOnceTheAnswerNobodyWantsIsIn) {
+  leave(50);
+  EXPECT_EQ(host->links().draining, 1U);
+  EXPECT_EQ(host->links().drains.begun, 1U);
+  cache.peers[0]->write(response(200, "nobody's"));
+  ASSERT_TRUE(wait_for([&] { return host->links().drains.reused == 1; }));
+  const auto next = client();
+  next->ask(a_read());
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 3; }));
+  cache.peers[0]->write(response(200, "mine"));
+  ASSERT_TRUE(wait_for([&] { return next->answers.size() == 1; }));
+  EXPECT_EQ(next->body(), "mine");
+  EXPECT_EQ(cache.peers.size(), 1U);
+  EXPECT_EQ(host->counts().served, 2U);
+}
+
+TEST_F(Cancelled, ItsConnectionIsClosedWhenTheAnswerDoesNotComeSoon) {
+  leave(20);
+  ASSERT_TRUE(wait_for([&] { return cache.open() == 0; }));
+  EXPECT_EQ(host->links().draining, 0U);
+  EXPECT_EQ(host->links().drains.reused, 0U);
+  EXPECT_EQ(host->links().connections, 0U);
+}
+
+TEST_F(Cancelled, ItsConnectionGivesWayWhereAnotherIsWanted) {
+  leave(200);
+  ASSERT_EQ(host->links().draining, 1U);
+  host->links().free_a_connection();
+  EXPECT_EQ(host->links().draining, 0U);
+  ASSERT_TRUE(wait_for([&] { return cache.open() == 0; }));
+}
+
+}  // namespace
+}  // namespace streampick::node::test
--- a/tests/resp/options_test.cpp
+++ b/tests/resp/options_test.cpp
@@ -92,7 +92,7 @@
   EXPECT_NE(out.find("resp.front: on"), std::string::npos) << out;
   EXPECT_EQ(run(router + "--check --options " STREAMPICK_SOURCE "/deploy/examples/overload.toml", out), 0)
       << out;
-  EXPECT_NE(out.find("overload: floors 0.333 and 0.333"), std::string::npos) << out;
+  EXPECT_NE(out.find("overload: floors 0.4 and 0.3"), std::string::npos) << out;
   EXPECT_EQ(run(router + "--check", out), 0);
   EXPECT_NE(out.find("resp.front: off"), std::string::npos);
 }
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -105,7 +105,7 @@
 TEST_F(OneServer, AForgottenAttemptClosesItsConnectionAndReportsNothing) {
   send(0);
   ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
-  upstream.forget({1, 0});
+  upstream.forget({1, 0}, Transport::Forget::overdue);
   ASSERT_TRUE(wait_for([&] { return cache.open() == 0; }));
   EXPECT_TRUE(record.ended.empty());
 }
