--- a/include/streampick/router.h
+++ b/include/streampick/router.h
@@ -1,4 +1,4 @@
-// streampick: the whole interface of the decision module. See src/router.cpp for the decisions.
+// streampick: the whole interface of the decision module. See src/policy/ for the decisions.
 //
 // A host feeds a Router events, each with the time it happened; the Router answers with actions on
 // a sink and tells when it next wants to be woken. It does no I/O and reads no clock.
--- /dev/null
+++ b/src/policy/execution.h
@@ -0,0 +1,197 @@
+// Copies after each constant delay, moving on per outcome, the origin read after a miss, and the
+// deadline. It guards against servers that pause, hang or fail; it is the one place that says what
+// may be sent again. It hurts when the whole fleet is slow, which is why copies have a budget.
+#pragma once
+
+#include "policy/servers.h"
+
+namespace streampick::policy {
+
+inline constexpr double kDelayPerAim = 0.4;     // the constant delay, as a share of the class's aim
+inline constexpr std::uint32_t kMaxCopies = 2;  // N, the most extra copies of one request
+inline constexpr double kCopyBudget = 0.15;     // copies per first attempt, over time
+inline constexpr double kCopyBudgetBurst = 2;   // ... and how many are saved up: for each server, shared
+
+struct Execution : Servers {
+  using Servers::Servers;
+
+  virtual ~Execution() = default;
+  virtual void ask_origin(std::uint32_t slot) = 0;  // the layers above
+  virtual void hand_over(std::uint32_t slot, bool filled) = 0;
+
+  // An unsafe request goes out again only when every attempt is known not to have run; a keyed one
+  // only while its repeats are still discarded, and only where all servers discard them.
+  bool may_send_again(const Open& open) const {
+    const RequestClass& kind = class_of(open);
+    if (kind.effect == Effect::safe) return true;
+    for (std::uint32_t i = 0; i < open.sent; ++i) {
+      const Attempt& attempt = open.attempts[i];
+      if (!attempt.live && never_ran(attempt.outcome)) continue;
+      if (kind.effect == Effect::unsafe || kind.group != Group::all) return false;
+      if (now_ - attempt.sent >= kind.window * 9 / 10) return false;
+    }
+    return true;
+  }
+
+  bool to_origin_first(const Open& open) const { return config_.aside && open.request.write; }
+
+  // In look-aside fleets the last attempt of a read is kept for the origin.
+  std::uint32_t attempts_left(const Open& open) const {
+    const bool keep = config_.aside && open.origin != OriginUse::out && open.origin != OriginUse::done;
+    const std::uint32_t limit = max_attempts_ - (keep && max_attempts_ > 1 ? 1 : 0);
+    return open.sent < limit ? limit - open.sent : 0;
+  }
+
+  std::uint32_t open_slot() {
+    if (free_.empty()) {
+      open_.emplace_back();
+      return static_cast<std::uint32_t>(open_.size() - 1);
+    }
+    const std::uint32_t slot = free_.back();
+    free_.pop_back();
+    return slot;
+  }
+
+  void start(std::uint32_t slot) {
+    Open& open = open_[slot];
+    copy_tokens_ = std::min(copy_most_, copy_tokens_ + kCopyBudget);
+    if (to_origin_first(open)) return ask_origin(slot);
+    const ServerId server = pick(open, false);
+    if (server == kNone) return add_timer(now_ + kTick, Wake::hold, slot, open.generation);
+    send(slot, server);
+    if (class_of(open).effect == Effect::safe && config_.can_copy) {
+      const Time delay = times(class_of(open).aim, kDelayPerAim);
+      add_timer(now_ + delay, Wake::copy, slot, open.generation);
+    }
+  }
+
+  void send(std::uint32_t slot, ServerId server) {
+    Open& open = open_[slot];
+    Server& to = servers_[server];
+    const bool origin = server == origin_;
+    open.attempts[open.sent++] = {server, now_,  to.answers,  Outcome::served,
+                                  true,   false, !linked(to), origin};
+    ++open.live;
+    ++to.in_flight;
+    for (Health* health : healths(to)) ++health->in_flight;
+    ++(origin ? origin_in_flight_ : cache_in_flight_);
+    if (origin && open.request.write) ++origin_writes_;
+    sink_.send(open.request.id, server, 0);
+  }
+
+  void launch_copy(std::uint32_t slot) {
+    Open& open = open_[slot];
+    // A miss is an answer: once the origin read is under way there is nothing left to copy.
+    if (open.live == 0 || open.origin != OriginUse::none) return;
+    for (std::uint32_t i = 0; i < open.sent; ++i) {
+      Attempt& attempt = open.attempts[i];
+      Server& server = servers_[attempt.server];
+      // No answer at all since this attempt went out: the server, not the request, is slow.
+      if (attempt.live && !attempt.struck && server.health.last_answer < attempt.sent) {
+        attempt.struck = true;
+        strike(server, server.zone->last_answer < attempt.sent);
+      } else if (attempt.live && !attempt.stuck && !attempt.origin &&
+                 server.answers - attempt.answers >= kOvertaken) {
+        // The server has answered many others since: what holds this one is no work of the server's, and
+        // counted as such it would move keys to servers that lack them.
+        attempt.stuck = true;
+        ++server.stuck;
+        ++stuck_;
+      }
+    }
+    if (open.copies >= kMaxCopies || attempts_left(open) == 0) return;
+    const Time delay = times(class_of(open).aim, kDelayPerAim);
+    if (copy_tokens_ >= 1 && crowding_ <= kCrowdedPerAim) {
+      const ServerId server = pick(open, true);
+      if (server != kNone) {
+        copy_tokens_ -= 1;
+        ++open.copies;
+        send(slot, server);
+      }
+    }
+    add_timer(now_ + delay, Wake::copy, slot, open.generation);
+  }
+
+  // A read whose answer was spoilt, or whose connection broke, goes to the same server again: it has what
+  // it read, while the plan's next one would most often miss and cost an origin read. A server that is
+  // gone refuses the new connection, and that tells it apart. A keyed write goes again while its repeats
+  // are discarded: the client would be told just that, that to try again is harmless.
+  bool ask_again(std::uint32_t slot, const Attempt& attempt) {
+    Open& open = open_[slot];
+    const Server& server = servers_[attempt.server];
+    if (open.streaming || !may_send_again(open)) return false;
+    if (!attempt.origin && class_of(open).effect != Effect::safe) return false;
+    if (open.request.deadline - now_ <= config_.answer_slack) return false;
+    if (attempt.origin) {
+      if (open.sent >= max_attempts_ || !server.listed) return false;
+      ask_origin(slot);
+      return true;
+    }
+    if (ramp(server) < 1) return false;  // a starting server gets no retries
+    const bool well = server.spoilt < kSpoiltToDoubt && server.full_until <= now_ && !off(server.health);
+    if (!well || !in_plan(server) || open.origin != OriginUse::none || attempts_left(open) == 0) return false;
+    send(slot, attempt.server);
+    return true;
+  }
+
+  // An execution ended without an answer: the next unused server of the plan, while others run on.
+  void move_on(std::uint32_t slot) {
+    Open& open = open_[slot];
+    if (open.origin == OriginUse::waiting || open.origin == OriginUse::following) return;
+    if (open.live > 0 && class_of(open).effect != Effect::safe) return;
+    if (may_send_again(open) && open.request.deadline - now_ > config_.answer_slack) {
+      const Attempt& last = open.attempts[open.sent - 1];
+      if (last.origin || to_origin_first(open)) {
+        if (open.sent < max_attempts_ && never_ran(last.outcome))
+          return add_timer(now_ + kTick, Wake::hold, slot, open.generation);
+      } else if (attempts_left(open) > 0 && open.origin != OriginUse::out) {
+        if (const ServerId server = pick(open, false); server != kNone) return send(slot, server);
+      }
+    }
+    if (open.live > 0) return;
+    // Every cache server turned it away, the origin has room: the last attempt was kept for that.
+    const bool read =
+        config_.aside && class_of(open).effect == Effect::safe && open.origin == OriginUse::none;
+    if (read && open.sent < max_attempts_ && origin_has_room()) return ask_origin(slot);
+    give_up(slot);
+  }
+
+  void give_up(std::uint32_t slot) {
+    Open& open = open_[slot];
+    if (may_send_again(open)) {
+      sink_.refuse(open.request.id, config_.max_retry_after / 8);
+    } else {
+      sink_.fail(open.request.id);
+    }
+    finish(slot);
+  }
+
+  void finish(std::uint32_t slot) {
+    Open& open = open_[slot];
+    open.over = true;
+    // An origin read that is out is left to end: the origin works on and the answer is stored.
+    for (std::uint32_t i = 0; i < open.sent && config_.can_cancel; ++i)
+      if (open.attempts[i].live && !open.attempts[i].origin) sink_.cancel(open.request.id, i);
+    if (open.origin != OriginUse::out) hand_over(slot, false);
+    release(slot);
+  }
+
+  void release(std::uint32_t slot) {
+    Open& open = open_[slot];
+    if (!open.used || !open.over || open.live > 0) return;
+    slots_.erase(open.request.id);
+    open.used = false;
+    ++open.generation;
+    free_.push_back(slot);
+  }
+
+  void resume(std::uint32_t slot) {
+    Open& open = open_[slot];
+    if (now_ + config_.answer_slack >= open.request.deadline) return give_up(slot);
+    if (open.sent == 0 && !to_origin_first(open)) return start(slot);
+    open.origin = OriginUse::none;
+    ask_origin(slot);
+  }
+};
+
+}  // namespace streampick::policy
--- /dev/null
+++ b/src/policy/state.h
@@ -0,0 +1,225 @@
+// What the decisions share: servers, open requests, timers, limits, and the few questions that all ask of
+// them. Each concern is a layer on it, in a file of its own; a layer knows those below it.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <queue>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+
+#include "policy/plan_index.h"
+
+namespace streampick::policy {
+
+inline constexpr Time kSecond = 1'000'000;
+inline constexpr Time kLong = 86'400 * kSecond;  // stands for no limit where times are multiplied
+
+inline constexpr std::size_t kMaxAttempts = 8;    // attempts kept for one request, whatever the limit
+inline constexpr int kStrikesToEject = 3;         // bad outcomes in a row
+inline constexpr Time kEjectFirst = kSecond;      // first ejection; doubles up to kEjectMost
+inline constexpr double kForget = 0.05;           // of what is learned, with each answer ...
+inline constexpr Time kForgetTime = 2 * kSecond;  // ... and with time: a quiet router has few answers
+inline constexpr double kCrowdedPerAim = 0.35;    // cache answers slower than this share of the aim: crowded
+inline constexpr Time kKeepSeldom = kSecond / 2;  // an idle connection that costs is closed after this ...
+inline constexpr Time kSeldom = 30 * kSecond;     // ... where its next use is further away than this
+inline constexpr Time kTick = 200'000;            // of the limits, and of held requests that try again
+
+// 64-bit finalizer (splitmix64): the only mixing function, for plans and for random draws.
+inline std::uint64_t mix(std::uint64_t x) {
+  x += 0x9e3779b97f4a7c15U;
+  x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9U;
+  x = (x ^ (x >> 27U)) * 0x94d049bb133111ebU;
+  return x ^ (x >> 31U);
+}
+
+inline Time times(Time time, double factor) { return static_cast<Time>(static_cast<double>(time) * factor); }
+inline double to_unit(std::uint64_t x) { return (static_cast<double>(x >> 11U) + 0.5) * 0x1.0p-53; }
+
+inline bool never_ran(Outcome outcome) {
+  return outcome == Outcome::full || outcome == Outcome::connect_failed || outcome == Outcome::not_sent ||
+         outcome == Outcome::miss;
+}
+
+// Of a server, and of all that share its zone or its cell: a quiet router hardly meets one server
+// twice in a while, but it meets what they have in common.
+struct Health {
+  int strikes = 0, in_flight = 0;
+  Time ejected_until = 0, eject_for = kEjectFirst, last_answer = 0;
+};
+
+struct Server {
+  Member member;
+  bool listed = false;
+  int in_flight = 0, stuck = 0;
+  std::uint32_t answers = 0;  // so far
+  Health health, *zone = nullptr, *cell = nullptr;
+  // Decayed sums of what answers took and of what they were expected to take.
+  double took = 0, expected = 0;
+  double weight = 1;   // nominal x learned speed; slow start comes on top
+  double counted = 0;  // its part of healthy_
+  Time full_until = 0;
+  int spoilt = 0;    // attempts in a row that a bad answer or the connection's end spoilt
+  Time linked = 0;   // when its connection was last in use; 0: none is open
+  bool off = false;  // when it was last looked at
+  bool planned = false;
+};
+
+struct Attempt {
+  ServerId server = kNone;
+  Time sent = 0;
+  std::uint32_t answers = 0;  // of its server, when it was sent
+  Outcome outcome = Outcome::served;
+  bool live = false, struck = false, dial = false, origin = false, stuck = false;
+};
+
+// On work in flight, as this router's part of the whole. Below one it is kept as a rate: one at a time,
+// and after each a pause, so that all routers together still keep to the whole.
+struct Limit {
+  double value = 0;
+  Time rest = 0;  // no more before this
+
+  bool room(double in_flight, Time now) const { return in_flight < value && now >= rest; }
+  void pause(double took, Time most, Time now) {
+    if (value < 1) rest = now + std::min(most, static_cast<Time>(took * (1 / value - 1)));
+  }
+};
+
+enum class OriginUse : std::uint8_t { none, waiting, following, out, done };
+
+struct Open {
+  Request request;
+  Time arrived = 0;
+  std::array<Attempt, kMaxAttempts> attempts{};
+  std::uint32_t sent = 0, copies = 0, live = 0;
+  bool over = true, streaming = false, used = false, held = false;
+  OriginUse origin = OriginUse::none;
+  std::uint32_t generation = 0;
+  std::vector<std::uint32_t> followers;  // single-flight: slots that wait for this origin read
+};
+
+enum class Wake : std::uint8_t { copy, deadline, hold, entry, watch, tick, idle, line };  // four of a request
+
+struct Timer {
+  Time at;
+  std::uint64_t sequence;
+  std::uint32_t slot, generation;
+  Wake wake;
+  bool operator>(const Timer& other) const {
+    return std::tie(at, sequence) > std::tie(other.at, other.sequence);
+  }
+};
+
+struct State {
+  State(Config config, std::uint64_t seed, Time now, ActionSink& sink)
+      : config_(std::move(config)), sink_(sink), random_(seed), now_(now) {
+    validate(config_);
+    config_.routers = std::max(1U, config_.routers);
+    class_took_.assign(config_.classes.size(), 0);
+    tenants_.assign(config_.tenants.size(), {});
+    for (const RequestClass& kind : config_.classes)
+      if (!config_.aside || kind.effect == Effect::safe) most_worth_ = std::max(most_worth_, kind.worth);
+    max_attempts_ = std::min<std::uint32_t>(config_.max_attempts, kMaxAttempts);
+    if (config_.keep_alive > 0) keep_most_ = config_.keep_alive;
+    keep_ = keep_most_;
+    add_timer(now_ + kTick, Wake::tick);
+  }
+
+  // What has ended by itself is nothing to wake for.
+  Time next_wakeup() {
+    while (!timers_.empty() && stale(timers_.top())) timers_.pop();
+    return timers_.empty() ? kNever : timers_.top().at;
+  }
+  bool stale(const Timer& timer) const {
+    if (timer.wake > Wake::entry) return false;
+    const Open& open = open_[timer.slot];
+    return open.generation != timer.generation || open.over || open.streaming ||
+           (timer.wake == Wake::entry && !open.held);
+  }
+
+  const RequestClass& class_of(const Open& open) const { return config_.classes[open.request.request_class]; }
+  std::array<Health*, 3> healths(Server& server) { return {&server.health, server.zone, server.cell}; }
+  bool off(const Health& health) const {  // ejected, or one trial request is out
+    return health.ejected_until > now_ || (health.strikes >= kStrikesToEject && health.in_flight > 0);
+  }
+  bool refused(const AttemptResult& result) const { return 2 * result.took < config_.dial_time_out; }
+  Time keep() const {
+    const bool seldom = config_.connection_cost > 0 && gap_ * static_cast<double>(plan_.size()) > kSeldom;
+    return seldom ? std::min(keep_, kKeepSeldom) : keep_;
+  }
+  bool linked(const Server& server) const {
+    return server.in_flight > 0 || (server.linked > 0 && now_ - server.linked < keep_most_);
+  }
+  bool origin_has_room() const {
+    return origin_ != kNone && origin_line_.empty() && origin_limit_.room(origin_in_flight_, now_);
+  }
+
+  void add_timer(Time at, Wake wake, std::uint32_t slot = 0, std::uint32_t generation = 0) {
+    timers_.push({at, sequence_++, slot, generation, wake});
+  }
+  double even_part() const { return static_cast<double>(plan_.size()) / config_.routers; }
+  // How much of what was learned an answer replaces: by samples, and by the time since the last one.
+  double forget(Time& last, double least) const {
+    const double age =
+        static_cast<double>(now_ - std::exchange(last, now_)) / static_cast<double>(kForgetTime);
+    return std::max(least, 1 - std::exp(-age));
+  }
+  double draw() { return to_unit(random_ = mix(random_)); }
+
+  Config config_;
+  ActionSink& sink_;
+  std::uint64_t random_;
+  Time now_;
+  std::uint32_t max_attempts_ = 1;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  std::uint64_t sequence_ = 0;
+
+  std::vector<Server> servers_;
+  std::vector<ServerId> plan_;  // listed, ready cache servers, by identity
+  PlanIndex index_;             // the same, to find a key's few among many
+  double healthy_ = 0;          // weight of those that are well, each as it was when last looked at
+  std::size_t next_look_ = 0;   // where in a large plan the next tick goes on
+  ServerId origin_ = kNone;
+  int cache_in_flight_ = 0, stuck_ = 0;
+  std::map<std::uint32_t, Health> zones_, cells_;  // ordered, and its nodes stay where they are
+
+  Time last_reweigh_ = 0, arrived_ = 0, idle_timer_ = 0;
+  double gap_ = 0;                              // between requests, usually
+  Time keep_ = kLong, keep_most_ = kLong;       // how long idle connections are kept
+  double dial_refused_ = 0;                     // share of new connections lately
+  std::deque<std::pair<Time, ServerId>> idle_;  // in order of their last use
+
+  std::vector<Open> open_;
+  std::vector<std::uint32_t> free_;
+  std::unordered_map<RequestId, std::uint32_t> slots_;  // looked up only, never walked
+
+  double copy_tokens_ = 0, copy_most_ = 0;
+  std::vector<double> class_took_;  // usual time of an answer without a hint, by class
+
+  Limit origin_limit_;
+  double origin_now_ = 0, origin_base_ = 0;  // usual time of an answer: lately, at its best
+  int origin_in_flight_ = 0, origin_writes_ = 0;
+  std::deque<std::pair<std::uint32_t, std::uint32_t>> origin_line_;
+  std::unordered_map<std::uint64_t, std::uint32_t> fetching_;  // key to the slot that reads it
+
+  struct TenantState {
+    double tokens = 0;
+    Time filled = 0;
+  };
+  std::vector<TenantState> tenants_;
+  std::vector<std::pair<std::uint32_t, std::uint32_t>> entry_line_;
+  double most_worth_ = 1e-9;  // of the classes that go to caches
+  Time crowding_at_ = 0, origin_at_ = 0, origin_cut_ = 0;
+  double crowding_ = 0;      // usual time of a cache answer, as a share of its aim
+  bool limit_used_ = false;  // it held work back since the last tick
+  Limit cache_limit_;        // cache work in flight above which reads are shed; 0: no list yet
+
+  Time ask_at_ = 0, ask_backoff_ = 0;
+  bool watching_ = false;
+};
+
+}  // namespace streampick::policy
