--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -1,9 +1,9 @@
-// Sheds what cannot be answered in time, only under pressure: a limit on cache work in flight, cut
-// when answers take long or reads are turned away twice, raised while it is used. Tenants over
-// their quota and classes of less worth get less of it; a read waits a little for room, last in
-// first out. It guards against overload of any cause, crowds that make servers slower, and bursts.
-// It hurts when answers are slow for a reason that less work does not cure: then it refuses what
-// would have been late but welcome. Writes that go to the origin pass.
+// Sheds what cannot be answered in time, only under pressure: a limit on cache work in flight, cut when
+// answers take long or reads are turned away twice, raised while it is used. Tenants over their quota and
+// classes of less worth get less of it; a read waits a little for room, last in first out. It guards against
+// overload of any cause, crowds that make servers slower, and bursts. It hurts when answers are slow for a
+// reason that less work does not cure: then it refuses what would have been late but welcome. Writes that go
+// to the origin pass.
 #pragma once
 
 #include "policy/origin.h"
--- a/src/policy/execution.h
+++ b/src/policy/execution.h
@@ -1,6 +1,6 @@
-// Copies after each constant delay, moving on per outcome, the origin read after a miss, and the
-// deadline. It guards against servers that pause, hang or fail; it is the one place that says what
-// may be sent again. It hurts when the whole fleet is slow, which is why copies have a budget.
+// Copies after each constant delay, moving on per outcome, the origin read after a miss, and the deadline.
+// It guards against servers that pause, hang or fail; it is the one place that says what may be sent again.
+// It hurts when the whole fleet is slow, which is why copies have a budget.
 #pragma once
 
 #include "policy/servers.h"
@@ -12,12 +12,15 @@
 inline constexpr double kCopyBudget = 0.15;     // copies per first attempt, over time
 inline constexpr double kCopyBudgetBurst = 2;   // ... and how many are saved up: for each server, shared
 
+inline constexpr double kRetryBudget = 0.5;  // sends after one that may have run, per first attempt
+
 struct Execution : Servers {
   using Servers::Servers;
 
   virtual ~Execution() = default;
   virtual void ask_origin(std::uint32_t slot) = 0;  // the layers above
   virtual void hand_over(std::uint32_t slot, bool filled) = 0;
+  virtual void look_at_origin(std::uint32_t slot) = 0;
 
   // An unsafe request goes out again only when every attempt is known not to have run; a keyed one
   // only while its repeats are still discarded, and only where all servers discard them.
@@ -55,6 +58,7 @@
   void start(std::uint32_t slot) {
     Open& open = open_[slot];
     copy_tokens_ = std::min(copy_most_, copy_tokens_ + kCopyBudget);
+    retry_tokens_ = std::min(kRetryBudgetBurst, retry_tokens_ + kRetryBudget);
     if (to_origin_first(open)) return ask_origin(slot);
     const ServerId server = pick(open, false);
     if (server == kNone) return add_timer(now_ + kTick, Wake::hold, slot, open.generation);
@@ -81,8 +85,13 @@
 
   void launch_copy(std::uint32_t slot) {
     Open& open = open_[slot];
+    const Time delay = times(class_of(open).aim, kDelayPerAim);
     // A miss is an answer: once the origin read is under way there is nothing left to copy.
-    if (open.live == 0 || open.origin != OriginUse::none) return;
+    if (open.origin != OriginUse::none) {
+      look_at_origin(slot);
+      return add_timer(now_ + delay, Wake::copy, slot, open.generation);
+    }
+    if (open.live == 0) return;
     for (std::uint32_t i = 0; i < open.sent; ++i) {
       Attempt& attempt = open.attempts[i];
       Server& server = servers_[attempt.server];
@@ -100,7 +109,6 @@
       }
     }
     if (open.copies >= kMaxCopies || attempts_left(open) == 0) return;
-    const Time delay = times(class_of(open).aim, kDelayPerAim);
     if (copy_tokens_ >= 1 && crowding_ <= kCrowdedPerAim) {
       const ServerId server = pick(open, true);
       if (server != kNone) {
@@ -112,10 +120,21 @@
     add_timer(now_ + delay, Wake::copy, slot, open.generation);
   }
 
-  // A read whose answer was spoilt, or whose connection broke, goes to the same server again: it has what
-  // it read, while the plan's next one would most often miss and cost an origin read. A server that is
-  // gone refuses the new connection, and that tells it apart. A keyed write goes again while its repeats
-  // are discarded: the client would be told just that, that to try again is harmless.
+  // What was turned away unseen cost nothing; what may have run is work done twice, most of it in a bad hour.
+  bool budget_allows(Outcome outcome) {
+    const bool costs = !never_ran(outcome), allowed = !costs || retry_tokens_ >= 1;
+    if (costs && allowed) retry_tokens_ -= 1;
+    return allowed;
+  }
+
+  // When to come back: each at a time of its own, or a crowd would come back as one.
+  Time advice(Time meant, RequestId request) const {
+    return std::min(config_.max_retry_after, times(meant, 0.5 + to_unit(mix(request))));
+  }
+
+  // A read whose answer was spoilt, or whose connection broke, goes to the same server again: it has what it
+  // read, while the plan's next one would most often miss. A server that is gone refuses the new connection.
+  // A keyed write goes again while its repeats are discarded: its client would be told that this is harmless.
   bool ask_again(std::uint32_t slot, const Attempt& attempt) {
     Open& open = open_[slot];
     const Server& server = servers_[attempt.server];
@@ -135,10 +154,11 @@
   }
 
   // An execution ended without an answer: the next unused server of the plan, while others run on.
-  void move_on(std::uint32_t slot) {
+  void move_on(std::uint32_t slot, Outcome outcome) {
     Open& open = open_[slot];
     if (open.origin == OriginUse::waiting || open.origin == OriginUse::following) return;
     if (open.live > 0 && class_of(open).effect != Effect::safe) return;
+    if (!budget_allows(outcome)) return open.live > 0 ? void() : give_up(slot);
     if (may_send_again(open) && open.request.deadline - now_ > config_.answer_slack) {
       const Attempt& last = open.attempts[open.sent - 1];
       if (last.origin || to_origin_first(open)) {
@@ -159,7 +179,7 @@
   void give_up(std::uint32_t slot) {
     Open& open = open_[slot];
     if (may_send_again(open)) {
-      sink_.refuse(open.request.id, config_.max_retry_after / 8);
+      sink_.refuse(open.request.id, advice(config_.max_retry_after / 8, open.request.id));
     } else {
       sink_.fail(open.request.id);
     }
--- a/src/policy/origin.h
+++ b/src/policy/origin.h
@@ -1,7 +1,7 @@
-// A limit on the origin work in flight, learned from its answers; one read of a key at a time; a
-// short wait in line, then an early refusal. It guards against floods of misses from flushes, cold
-// servers and remapped keys, and against a slow origin. It hurts when the origin is merely far away
-// and slow answers are normal, which is why its usual time counts too.
+// A limit on the origin work in flight, learned from its answers; one read of a key at a time; a short wait
+// in line, then an early refusal. It guards against floods of misses from flushes, cold servers and remapped
+// keys, and against a slow origin. It hurts when the origin is merely far away and slow answers are normal,
+// which is why its usual time counts too.
 #pragma once
 
 #include "policy/execution.h"
@@ -12,7 +12,10 @@
 inline constexpr double kOriginLeast = 0.1;  // ... and the least one
 inline constexpr double kOriginMost = 64, kOriginFirstMost = 4;
 inline constexpr double kOriginSlowPerAim = 0.33;  // an origin answer slower than this share of the aim
-inline constexpr double kOriginSlowPerBase = 2;    // ... and than this multiple of its usual is crowded
+inline constexpr double kOriginStuck = 3, kOriginLost = 4;  // times its usual: stuck; to be asked again ...
+inline constexpr std::uint32_t kOriginPassed = 8,
+                               kOriginOvertaken = 32;  // ... if so many others were answered
+inline constexpr double kOriginSlowPerBase = 2;        // ... and than this multiple of its usual is crowded
 
 struct Origin : Execution {
   using Execution::Execution;
@@ -64,12 +67,27 @@
     }
   }
 
+  // What takes long while later ones are answered is stuck on its connection: it takes no place at the
+  // origin, and once that is beyond doubt it goes out again. Its followers wait for that.
+  void look_at_origin(std::uint32_t slot) override {
+    Open& open = open_[slot];
+    Attempt& last = open.attempts[std::max(open.sent, 1U) - 1];
+    if (!last.origin || !last.live) return;
+    const double took = static_cast<double>(now_ - last.sent) / std::max(origin_now_, 1.0);
+    const std::uint32_t others = servers_[last.server].answers - last.answers;
+    if (took < kOriginStuck || others < kOriginPassed) return;
+    if (!std::exchange(last.stuck, true)) --origin_in_flight_;
+    if (took >= kOriginLost && others >= kOriginOvertaken && open.sent < max_attempts_)
+      sink_.cancel(open.request.id, open.sent - 1);
+    drain_origin_line();
+  }
+
   void origin_answered(std::uint32_t slot, const Attempt& attempt, const AttemptResult& result) {
     Open& open = open_[slot];
     open.origin = OriginUse::done;
     const double took = static_cast<double>(now_ - attempt.sent);
     const double aim = static_cast<double>(class_of(open).aim);
-    bool crowded = result.outcome == Outcome::full || result.outcome == Outcome::timeout;
+    bool crowded = result.outcome == Outcome::full || (result.outcome == Outcome::timeout && !attempt.stuck);
     if (result.outcome == Outcome::served) {
       if (origin_now_ <= 0) origin_now_ = origin_base_ = took;
       origin_now_ += (took - origin_now_) * forget(origin_at_, 2 * kForget);
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -1,10 +1,8 @@
-// Interface: include/streampick/router.h. Every decision of the router and every constant that decisions use
-// is in this folder; the host around it only carries events in and actions out. From the ground up: state.h,
-// plan.h, servers.h, execution.h, origin.h, admission.h, and here the events themselves and the list of
-// servers.
-//
-// Ordinary path: a key read goes to its bounded-hash cache server; each further constant delay
-// without an answer launches one more copy on the key's next server; losers are cancelled.
+// Interface: include/streampick/router.h. All decisions and their constants are in this folder; the host only
+// carries events in and actions out. From the ground up: state.h, plan.h, servers.h, execution.h, origin.h,
+// admission.h, and here the events and the list of servers. Ordinary path: a key read goes to its
+// bounded-hash server; each further constant delay launches one more copy on the key's next; losers are
+// cancelled.
 #include "streampick/router.h"
 
 #include "policy/admission.h"
@@ -13,11 +11,6 @@
 
 using namespace policy;
 
-namespace {
-constexpr Time kAskFirst = kSecond / 2, kAskMost = 4 * kSecond;  // backoff after a failed call
-constexpr Time kAskAgain = 5 * kSecond;                          // ... and after a silent one
-}  // namespace
-
 struct Router::Impl final : Admission {
   using Admission::Admission;
 
@@ -27,7 +20,7 @@
     arrived_ = now;
     const bool over_quota = use_quota(request);
     const bool room = admits(request, over_quota);
-    if (!room && over_quota) return sink_.refuse(request.id, config_.max_retry_after / 2);
+    if (!room && over_quota) return sink_.refuse(request.id, advice(config_.max_retry_after / 2, request.id));
     const std::uint32_t slot = open_slot();
     Open& open = open_[slot];
     const std::uint32_t generation = open.generation + 1;
@@ -66,9 +59,9 @@
       attempt.outcome = result.outcome;
       --open.live;
       --servers_[attempt.server].in_flight;
-      if (attempt.stuck) --servers_[attempt.server].stuck, --stuck_;
+      if (attempt.stuck && !attempt.origin) --servers_[attempt.server].stuck, --stuck_;
       for (Health* health : healths(servers_[attempt.server])) --health->in_flight;
-      --(attempt.origin ? origin_in_flight_ : cache_in_flight_);
+      if (!attempt.origin || !attempt.stuck) --(attempt.origin ? origin_in_flight_ : cache_in_flight_);
       if (attempt.origin && open.request.write) --origin_writes_;
       judge(servers_[attempt.server], attempt, result, open);
       link(attempt.server, attempt, result);
@@ -88,6 +81,8 @@
       finish(slot);
     } else if (now_ >= open.request.deadline) {
       give_up(slot);
+    } else if (attempt.origin && attempt.stuck && result.outcome == Outcome::cancelled) {
+      ask_origin(slot);
     } else if (result.outcome == Outcome::rejected) {
       sink_.fail(open.request.id);
       finish(slot);
@@ -99,7 +94,7 @@
       }
     } else {
       const bool spoilt = result.outcome == Outcome::spoilt || result.outcome == Outcome::reset;
-      if (!spoilt || !ask_again(slot, attempt)) move_on(slot);
+      if (!spoilt || !ask_again(slot, attempt)) move_on(slot, attempt.outcome);
     }
     drain_entry_line();
     drain_origin_line();
--- a/src/policy/servers.h
+++ b/src/policy/servers.h
@@ -1,7 +1,7 @@
-// Health from this router's own outcomes, slow start, drains. Speed learned from answers sets the
-// weight; bad outcomes in a row eject, for longer each time, and one trial request brings back. It
-// guards against slow, hung and unreachable servers. It hurts when the router's own network is at
-// fault: where everything looks bad, nothing is ejected.
+// Health from this router's own outcomes, slow start, drains. Speed learned from answers sets the weight;
+// bad outcomes in a row eject, for longer each time, and one trial request brings back. It guards against
+// slow, hung and unreachable servers. It hurts when the router's own network is at fault: where everything
+// looks bad, nothing is ejected.
 #pragma once
 
 #include "policy/plan.h"
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -20,6 +20,7 @@
 inline constexpr Time kLong = 86'400 * kSecond;  // stands for no limit where times are multiplied
 
 inline constexpr std::size_t kMaxAttempts = 8;    // attempts kept for one request, whatever the limit
+inline constexpr double kRetryBudgetBurst = 10;   // sends after one that may have run, saved up
 inline constexpr int kStrikesToEject = 3;         // bad outcomes in a row
 inline constexpr Time kEjectFirst = kSecond;      // first ejection; doubles up to kEjectMost
 inline constexpr double kForget = 0.05;           // of what is learned, with each answer ...
@@ -27,7 +28,9 @@
 inline constexpr double kCrowdedPerAim = 0.35;    // cache answers slower than this share of the aim: crowded
 inline constexpr Time kKeepSeldom = kSecond / 2;  // an idle connection that costs is closed after this ...
 inline constexpr Time kSeldom = 30 * kSecond;     // ... where its next use is further away than this
-inline constexpr Time kTick = 200'000;            // of the limits, and of held requests that try again
+inline constexpr Time kAskFirst = kSecond / 2, kAskMost = 4 * kSecond;  // backoff after a failed call
+inline constexpr Time kAskAgain = 5 * kSecond;                          // ... and after a silent one
+inline constexpr Time kTick = 200'000;  // of the limits, and of held requests that try again
 
 // 64-bit finalizer (splitmix64): the only mixing function, for plans and for random draws.
 inline std::uint64_t mix(std::uint64_t x) {
@@ -197,7 +200,7 @@
   std::vector<std::uint32_t> free_;
   std::unordered_map<RequestId, std::uint32_t> slots_;  // looked up only, never walked
 
-  double copy_tokens_ = 0, copy_most_ = 0;
+  double copy_tokens_ = 0, copy_most_ = 0, retry_tokens_ = kRetryBudgetBurst;
   std::vector<double> class_took_;  // usual time of an answer without a hint, by class
 
   Limit origin_limit_;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -695,5 +695,77 @@
   EXPECT_TRUE(host.sends.empty());
 }
 
+// ---- What is stuck, and what is sent again
+
+// A read that the origin answers at once, after `took`.
+void read_through(FakeHost& host, RequestId id, Time took) {
+  host.request(id, 0, id * 7919);
+  host.result(host.sends.size() - 1, Outcome::miss);
+  ASSERT_EQ(host.sends.back().server, kOrigin);
+  host.advance(took);
+  host.result(host.sends.size() - 1, Outcome::served);
+}
+
+TEST(StuckAtTheOrigin, AReadThatManyOvertookGoesOutAgainOnce) {
+  FakeHost host(with_copies());
+  host.request(1, 0, 1);
+  host.result(0, Outcome::miss);
+  ASSERT_EQ(host.sends.size(), 2U);
+  ASSERT_EQ(host.sends[1].server, kOrigin);
+  for (RequestId id = 2; id <= 45; ++id) read_through(host, id, 5 * kMs);
+  host.advance(300 * kMs);
+  ASSERT_EQ(host.cancels.size(), 1U);
+  EXPECT_EQ(host.cancels[0], std::pair(RequestId{1}, 1U));
+  host.result(1, Outcome::cancelled);
+  EXPECT_EQ(host.sends_of(1), 3U);
+  EXPECT_EQ(host.sends.back().server, kOrigin);
+  host.result(host.sends.size() - 1, Outcome::served);
+  EXPECT_EQ(host.ended[1], "served");
+}
+
+TEST(StuckAtTheOrigin, ASlowOriginIsNotAskedTwice) {
+  FakeHost host(with_copies());
+  for (RequestId id = 1; id <= 4; ++id) {
+    host.request(id, 0, id * 7919);
+    host.result(host.sends.size() - 1, Outcome::miss);
+  }
+  const std::size_t before = host.sends.size();
+  host.advance(3'000 * kMs);  // nobody overtakes anybody
+  EXPECT_TRUE(host.cancels.empty());
+  EXPECT_EQ(host.sends.size(), before);
+}
+
+TEST(StuckAtTheOrigin, WhatIsStuckLeavesItsPlaceToOthers) {
+  FakeHost host(with_copies());
+  // As many as may be out at first, on connections that say nothing, and one that goes on.
+  for (RequestId id = 1; id <= 3; ++id) {
+    host.request(id, 0, id * 104'729);
+    host.result(host.sends.size() - 1, Outcome::miss);
+  }
+  for (RequestId id = 10; id <= 60; ++id) read_through(host, id, 5 * kMs);
+  host.advance(400 * kMs);
+  EXPECT_EQ(host.cancels.size(), 3U);
+  // Four more at once, where one place was left before.
+  const std::size_t before = host.sends.size();
+  for (RequestId id = 100; id < 104; ++id) {
+    host.request(id, 0, id * 7919);
+    host.result(host.sends.size() - 1, Outcome::miss);
+  }
+  EXPECT_EQ(host.sends.size() - before, 8U);
+}
+
+TEST(Budget, WhereAllFailsNoThreefoldWorkIsMade) {
+  FakeHost host(with_copies());
+  for (RequestId id = 1; id <= 100; ++id) {
+    host.request(id, 0, id * 7919);
+    for (std::size_t i = 0; i < host.sends.size(); ++i)
+      if (host.sends[i].live) host.result(i, Outcome::error);
+    host.advance(5 * kMs);
+  }
+  std::size_t sends = 0;
+  for (RequestId id = 1; id <= 100; ++id) sends += host.sends_of(id);
+  EXPECT_LE(sends, 100U + 10U + 50U);
+}
+
 }  // namespace
 }  // namespace streampick::test
