The router inside a host process: libstreampick_client for C++ and C, with pauses of the host

Change: src/plugin: the engine on a thread of its own behind streampick/client.h (callbacks, futures, co_await, cancel, drain, counts) and streampick.h for C. plugin/resume decides what a pause of the host means: it is left out of the engine's time, deadlines stay real, idle connections are closed, new attempts wait until the list has been read again, what that list says of departures holds at once. A client at rest is not woken by the engine. Two clients share nothing; a forked child is told to open its own. Messages, and the maps' entries, are used again. Strings that one peer made large are freed by a swap: assigning an empty string kept their memory.

--- /dev/null
+++ b/bench/plugin/plugin.cpp
@@ -0,0 +1,162 @@
+// What a call costs by way of the client library, of the daemon and of a connection straight to a cache, in
+// one run; and what a client costs that rests.
+//
+//   bench_plugin --router build-full/streampick_router
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <atomic>
+#include <boost/asio.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "standin/http_cache.h"
+#include "standin/platform.h"
+#include "streampick/client.h"
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using Steady = std::chrono::steady_clock;
+using namespace std::chrono_literals;
+using namespace streampick;
+
+long resident_kb() {
+  std::ifstream file("/proc/self/statm");
+  long all = 0, resident = 0;
+  file >> all >> resident;
+  return resident * (::sysconf(_SC_PAGESIZE) / 1024);
+}
+
+void print(const char* name, std::vector<double> us) {
+  std::sort(us.begin(), us.end());
+  const auto at = [&](double share) {
+    return us[static_cast<std::size_t>(share * static_cast<double>(us.size() - 1))];
+  };
+  std::printf("%-12s p50 %7.1f us   p90 %7.1f us   p99 %7.1f us\n", name, at(0.5), at(0.9), at(0.99));
+}
+
+template <class Call>
+std::vector<double> time_calls(int calls, Call call) {
+  std::vector<double> out;
+  for (int i = 0; i < calls; ++i) {
+    const auto begin = Steady::now();
+    if (!call(i)) std::abort();
+    out.push_back(std::chrono::duration<double, std::micro>(Steady::now() - begin).count());
+  }
+  return out;
+}
+
+// A connection that is kept, one request at a time.
+class Straight {
+ public:
+  explicit Straight(const std::string& address) : socket_(io_) {
+    const auto colon = address.rfind(':');
+    socket_.connect({asio::ip::make_address(address.substr(0, colon)),
+                     static_cast<unsigned short>(std::atoi(address.c_str() + colon + 1))});
+    socket_.set_option(tcp::no_delay(true));
+  }
+  bool get(int i) {
+    char head[256];
+    const int size =
+        std::snprintf(head, sizeof head,
+                      "GET /tile-read/%016x HTTP/1.1\r\nHost: a\r\nX-Txn: %016x\r\nX-Lane: tile-read\r\n"
+                      "X-Remaining: 2.000\r\n\r\n",
+                      i % 97, 0x5000 + ++id_);
+    asio::write(socket_, asio::buffer(head, static_cast<std::size_t>(size)));
+    std::string in;
+    for (;;) {
+      in.append(chunk_.data(), socket_.read_some(asio::buffer(chunk_)));
+      const std::size_t end = in.find("\r\n\r\n");
+      if (end == std::string::npos) continue;
+      const std::size_t at = in.find("Content-Length: ");
+      if (in.size() >= end + 4 + std::strtoul(in.c_str() + at + 16, nullptr, 10)) return in[9] == '2';
+    }
+  }
+
+ private:
+  asio::io_context io_;
+  tcp::socket socket_;
+  std::array<char, 16384> chunk_{};
+  int id_ = 0;
+};
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("The client library beside the daemon and a straight connection.");
+  std::string program = "build-full/streampick_router";
+  int calls = 20'000;
+  app.add_option("--router", program, "the router's program")->check(CLI::ExistingFile);
+  app.add_option("--calls", calls, "of each way");
+  CLI11_PARSE(app, argc, argv);
+
+  asio::io_context io{1};
+  std::vector<std::unique_ptr<standin::HttpCache>> servers;
+  std::vector<standin::PlatformMember> members;
+  for (int i = 0; i < 5; ++i) {
+    servers.push_back(std::make_unique<standin::HttpCache>(io, std::string(1024, 'x')));
+    members.push_back({"s-" + std::to_string(i), servers.back()->address(), i == 4});
+  }
+  standin::StaticDiscovery discovery(io, members);
+  std::atomic<bool> done{false};
+  std::thread serving([&] {
+    while (!done) {
+      io.restart();
+      io.run_for(100ms);
+    }
+  });
+  asio::io_context ports;
+  const unsigned short port = standin::free_port(ports);
+  const auto config =
+      standin::router_config("127.0.0.1:" + std::to_string(port), discovery.address(), members, 1024);
+  ClientSettings settings;
+  settings.config = config.dump();
+  {
+    const standin::RouterProcess router(program, config, "", "/dev/null");
+    std::this_thread::sleep_for(1s);
+    Client client(settings);
+    Straight cache(members[0].address), daemon("127.0.0.1:" + std::to_string(port));
+    std::vector<double> straight, through_daemon, through_client;
+    // By turns: what else the machine does falls on all three.
+    for (int round = 0; round < 10; ++round) {
+      for (auto& [to, call] : {std::pair<std::vector<double>*, std::function<bool(int)>>{
+                                   &straight, [&](int i) { return cache.get(i); }},
+                               {&through_daemon, [&](int i) { return daemon.get(i); }},
+                               {&through_client, [&](int i) {
+                                  return client.get("sheet-" + std::to_string(i % 97)).get().status ==
+                                         Status::served;
+                                }}}) {
+        auto part = time_calls(calls / 10, call);
+        to->insert(to->end(), part.begin(), part.end());
+      }
+    }
+    print("straight", straight);
+    print("daemon", through_daemon);
+    print("library", through_client);
+    std::printf("daemon: %ld KB resident\n", router.resident_kb());
+    const std::uint64_t wakeups = client.counts().wakeups;
+    std::this_thread::sleep_for(10s);
+    std::printf("library at rest for 10 s, its connections open: %llu wake-ups\n",
+                static_cast<unsigned long long>(client.counts().wakeups - wakeups));
+  }
+  for (const std::size_t many : {1U, 10U, 100U}) {
+    const long before = resident_kb();
+    std::vector<std::unique_ptr<Client>> clients;
+    for (std::size_t i = 0; i < many; ++i) clients.push_back(std::make_unique<Client>(settings));
+    for (const auto& client : clients) client->get("sheet-1").get();
+    std::printf("%3zu clients: %ld KB more, %.0f KB each\n", many, resident_kb() - before,
+                static_cast<double>(resident_kb() - before) / static_cast<double>(many));
+  }
+  done = true;
+  serving.join();
+  return 0;
+}
--- a/src/engine/body_stream.cpp
+++ b/src/engine/body_stream.cpp
@@ -16,7 +16,7 @@
   if (state_ != State::open) return;
   // A writer that ends short of what it had announced has cut it, whatever it thinks.
   state_ = how == State::whole && length_ && passed_ != *length_ ? State::cut : how;
-  if (state_ == State::cut) waits_ = {};
+  if (state_ == State::cut) std::string().swap(waits_);
   if (wanted_ && came) came();
 }
 
@@ -30,7 +30,7 @@
 
 void BodyStream::leave() {
   if (!std::exchange(wanted_, false)) return;
-  waits_ = {};
+  std::string().swap(waits_);
   came = nullptr;
   if (state_ == State::open && unwanted) unwanted();
 }
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -37,6 +37,7 @@
       origin_kind_(settings.config.aside ? settings.config.origin_kind : kNone),
       drain_grace_(settings.drain_grace),
       keep_alive_(settings.config.keep_alive),
+      rests_(settings.rests),
       timer_(time.timer([this] {
         armed_ = kNever;
         wake();
@@ -142,6 +143,7 @@
   request.has_key = incoming.has_key;
   request.write = is_write(open.message->operation);
   if (request.write && stores_back_) store_back_.write_began(open.key, now);
+  catch_up();
   request.deadline = open.deadline;
   request.cost_hint = incoming.cost_hint;
   router_->on_request(now, request);
@@ -287,7 +289,19 @@
   return expiry.number < open.attempts.size() && open.attempts[expiry.number].live;
 }
 
+// What was due while nobody was to be woken.
+void Engine::catch_up() {
+  if (!rests_ || armed_ != kNever) return;
+  if (router_->next_wakeup() <= time_.now()) router_->on_wakeup(time_.now());
+  if (!second_armed_) every_second();
+}
+
 void Engine::arm() {
+  if (rests_ && requests_.empty()) {
+    armed_ = kNever;
+    timer_->cancel();
+    return;
+  }
   Time next = router_->next_wakeup();
   // What has ended by itself is nothing to wake for.
   while (!expiries_.empty() && !is_due(expiries_.front())) drop_first_expiry();
@@ -327,13 +341,37 @@
   const auto found = requests_.find(request);
   if (found == requests_.end() || found->second.over) return;
   ++counts_.guarded;
-  if (drain_end_ == kNever)
+  if (drain_end_ == kNever && !found->second.moved)
     log_("GUARD: the module left request " + found->second.message->txn + " unanswered");
   ++counts_.failed;
   answer(request, {.kind = Reply::Kind::failed, .late = true});
   router_->on_withdrawn(time_.now(), request);
 }
 
+void Engine::stood_still(Time length) {
+  const Time now = time_.now();
+  std::vector<RequestId> late;
+  for (auto& [id, open] : requests_) {
+    open.deadline -= length;
+    open.guard -= length;
+    open.moved = true;
+    for (Attempt& attempt : open.attempts) attempt.expires -= length;
+    if (!open.over && open.deadline <= now) late.push_back(id);
+  }
+  // All by as much: they stay in their order.
+  for (Expiry& expiry : expiries_) expiry.at -= length;
+  for (const RequestId id : late) {
+    ++counts_.failed;
+    answer(id, {.kind = Reply::Kind::failed, .late = true});
+    router_->on_withdrawn(now, id);
+  }
+  for (const Server& server : servers_)
+    if (server.transport) server.transport->close_idle(kNever);
+  old_news_ = true;
+  armed_ = kNever;
+  settle();
+}
+
 void Engine::every_second() {
   // Closed a little before the server would: a request that crosses the server's close is lost.
   const Time unused = keep_alive_ > 0
@@ -343,7 +381,8 @@
     if (server.transport) server.transport->close_idle(unused);
   for (ServerId id = 0; id < servers_.size(); ++id) forget_if_gone(id);  // its last answer is through
   forget_txns();
-  second_->set(time_.now() + kSecond);
+  second_armed_ = !rests_ || !requests_.empty() || !rests_();
+  if (second_armed_) second_->set(time_.now() + kSecond);
   settle();
 }
 
@@ -385,7 +424,8 @@
   // Half the grace: a send counts from its first byte, and the news may have been told a little before
   // it was read.
   Transport& transport = *servers_[server].transport;
-  if (transport.nothing_from() == kNever) transport.send_nothing_from(time_.now() + drain_grace_ / 2);
+  if (transport.nothing_from() == kNever)
+    transport.send_nothing_from(time_.now() + (old_news_ ? 0 : drain_grace_ / 2));
   // Nothing more goes to it: what it would hold open is of no use to either side.
   transport.close_idle(kNever);
   if (gone) servers_[server].listed = false;
@@ -427,6 +467,7 @@
         depart(id, true);
         gone.push_back(id);
       }
+  if (update == Update::full) old_news_ = false;
   router_->on_members(time_.now(), update, told);
   settle();
   for (const ServerId id : gone) forget_if_gone(id);
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -4,10 +4,12 @@
 #pragma once
 
 #include <array>
+#include <boost/container/small_vector.hpp>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
+#include <memory_resource>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -29,6 +31,9 @@
   Config config;
   std::uint64_t seed = 0;
   Time drain_grace = 0;  // nothing new goes to a departing server later than this after the news
+  // Set: where nothing is open, and it says that no connection is either, nobody is woken. What fell due
+  // meanwhile is made up for with the next request.
+  std::function<bool()> rests = {};
 };
 
 class Engine final : public ActionSink, public Requests, public ListReader, public Outcomes {
@@ -50,6 +55,10 @@
   void add(Front& front) { fronts_.push_back(&front); }
   // Goes on accepting for a little, finishes what was taken, then calls `done`.
   void drain(std::function<void()> done);
+  // The time left a stretch of `length` us out: clients' deadlines, which are real, are that much nearer, and
+  // what their time is up for ends now. Connections may have died unseen: none that rests is used again. What
+  // the next list says of servers that go is old news, and holds at once.
+  void stood_still(Time length);
   // Closes the connection that has been idle for longest at some server; false: there was none.
   bool free_a_connection();
   const Counts& counts() const { return counts_; }
@@ -83,8 +92,9 @@
     std::uint64_t tag = 0, txn = 0, key = 0;
     Time asked = 0, deadline = 0, guard = 0;
     std::string why;
-    std::vector<Attempt> attempts;
+    boost::container::small_vector<Attempt, 4> attempts;
     bool over = false, may_have_run = false, absent = false;
+    bool moved = false;  // its deadline is not the one that the module was told
   };
   // By ServerId. One that is off the list is forgotten once its last attempt has ended, and its id is then
   // free for another: where servers come and go all day under ever new names, nothing may grow with them.
@@ -124,6 +134,7 @@
   void drain_fronts();
   std::size_t unanswered() const;
   void guard(RequestId request);
+  void catch_up();
   void expire_at(Expiry expiry);
   bool is_due(const Expiry& expiry) const;
   void drop_first_expiry();
@@ -139,12 +150,15 @@
   std::vector<Front*> fronts_;
   std::uint32_t origin_kind_;
   Time drain_grace_, keep_alive_;
+  std::function<bool()> rests_;
+  bool old_news_ = false;  // the next list tells of departures that may be long past
   std::optional<Router> router_;
   std::vector<Server> servers_;
   std::vector<ServerId> free_ids_;
   std::unordered_map<std::string, ServerId> ids_;
-  std::unordered_map<RequestId, Open> requests_;
-  std::unordered_set<std::uint64_t> txns_;  // of the open ones, and of the last to end
+  std::pmr::unsynchronized_pool_resource pool_;  // of the maps: entries come and go with every request
+  std::pmr::unordered_map<RequestId, Open> requests_{&pool_};
+  std::pmr::unordered_set<std::uint64_t> txns_{&pool_};  // of the open ones, and of the last to end
   std::deque<std::pair<Time, std::uint64_t>> ended_txns_;
   std::vector<Time> patience_;  // by class: the longest that its clients wait
   // A heap, the next one first. What has ended stays in it until its turn comes, or until most have ended.
@@ -156,7 +170,7 @@
   RequestId last_request_ = 0;
   Time armed_ = kNever;
   Time accept_end_ = kNever, drain_end_ = kNever;  // once told to stop
-  bool settling_ = false, accepting_ended_ = false, last_writes_ = false;
+  bool second_armed_ = true, settling_ = false, accepting_ended_ = false, last_writes_ = false;
   Counts counts_;
   std::unique_ptr<Timer> timer_, second_, drain_timer_;
   std::function<void()> done_;
--- /dev/null
+++ b/src/engine/keys.h
@@ -0,0 +1,51 @@
+// How a key is named in a target, and numbered: the same at every front, so that a key is one key wherever it
+// was named.
+#pragma once
+
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "settings.h"
+
+namespace streampick::node {
+
+// 16 lower-case hex digits.
+inline std::string hex(std::uint64_t value) {
+  std::array<char, 16> digits{};
+  for (std::size_t i = digits.size(); i-- > 0; value >>= 4U) digits[i] = "0123456789abcdef"[value & 15U];
+  return {digits.data(), digits.size()};
+}
+
+// A key as a part of a path: what a path may not hold as it is (RFC 3986, section 3.3) stands as %XX.
+inline std::string escape_key(std::string_view key) {
+  constexpr std::string_view plain = "-._~!$&'()*+,;=:@";
+  std::string out;
+  out.reserve(key.size());
+  for (const char c : key) {
+    const bool as_it_is = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+                          plain.find(c) != std::string_view::npos;
+    if (as_it_is) {
+      out += c;
+    } else {
+      const auto byte = static_cast<unsigned char>(c);
+      out += '%';
+      out += "0123456789ABCDEF"[byte >> 4U];
+      out += "0123456789ABCDEF"[byte & 15U];
+    }
+  }
+  return out;
+}
+
+// 16 hex digits are the number that they write; anything else is hashed.
+inline std::uint64_t key_number(std::string_view escaped) {
+  std::uint64_t value = 0;
+  const char* end = escaped.data() + escaped.size();
+  const auto parsed = std::from_chars(escaped.data(), end, value, 16);
+  if (escaped.size() == 16 && parsed.ec == std::errc{} && parsed.ptr == end) return value;
+  return hash_name(escaped);
+}
+
+}  // namespace streampick::node
--- a/src/engine/transport.h
+++ b/src/engine/transport.h
@@ -37,7 +37,7 @@
   virtual void void_copy(const std::string& /*key*/) {}
 
   // No request's first byte is written at this time or later; kNever lifts it.
-  void send_nothing_from(Time at) { nothing_from_ = at; }
+  virtual void send_nothing_from(Time at) { nothing_from_ = at; }
   Time nothing_from() const { return nothing_from_; }
 
  protected:
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -75,8 +75,8 @@
 }
 
 // What the message asks for, or the answer that says what is wrong with it.
-std::variant<Incoming, Response> read_request(const RequestHead& head, std::string& body,
-                                              const Names& names) {
+std::variant<Incoming, Response> read_request(const RequestHead& head, std::string& body, const Names& names,
+                                              MessagePool& messages) {
   if (!host_is_plain(head.version, head.host.times, head.host.value))
     return problem(400, "one Host, and no other");
   const std::string_view target = origin_form(head.target);
@@ -117,7 +117,7 @@
   if (const auto hint = to_number(head.estimate.value); hint && *hint > 0 && *hint < 1e12)
     out.cost_hint = static_cast<Time>(*hint);
 
-  out.message = std::make_shared<Message>();
+  out.message = messages.take();
   out.message->operation = write ? Operation::write : Operation::read;
   out.message->target = target;
   out.message->key = key;
@@ -254,7 +254,7 @@
 
   void parse_ahead() {
     ahead_.erase(0, parse(ahead_));
-    if (ahead_.empty() && ahead_.capacity() > 64) ahead_ = {};
+    if (ahead_.empty() && ahead_.capacity() > 64) std::string().swap(ahead_);
   }
 
   // Returns how much of it was used; what follows a whole message is not.
@@ -320,7 +320,7 @@
       if (head_.method != http::verb::get) return wrong(problem(405, "GET only"));
       return answer({owner_->draining_ ? 503U : 200U, "text/plain", "", 0, {}});
     }
-    auto read = read_request(head_, in_body_, owner_->names_);
+    auto read = read_request(head_, in_body_, owner_->names_, owner_->messages_);
     if (Response* problem_found = std::get_if<Response>(&read)) return wrong(std::move(*problem_found));
     enter(State::asked);
     // It may be answered within the call, before its id is known here.
@@ -441,13 +441,13 @@
 
   void written() {
     if (owner_ == nullptr) return;
-    out_body_ = {};
+    std::string().swap(out_body_);
     lease_ = {};
     if (last_) {
       // A close with unread bytes would reset the connection and could take the answer with it: the
       // client is given the time to end it first.
       enter(State::lingering);
-      ahead_ = {};
+      std::string().swap(ahead_);
       error_code ignored;
       socket_.shutdown(tcp::socket::shutdown_send, ignored);
       return wait();
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "engine/front.h"
+#include "engine/message_pool.h"
 #include "net/admission.h"
 #include "net/clock.h"
 #include "net/listener.h"
@@ -84,6 +85,7 @@
   Admission& admission_;
   std::size_t open_ = 0;
   Counts counts_;
+  MessagePool messages_;
   std::array<Queue, 6> queues_;
   bool draining_ = false;
 };
--- a/src/http1/reader.cpp
+++ b/src/http1/reader.cpp
@@ -56,7 +56,7 @@
 void RequestHead::clear() {
   method = http::verb::unknown;
   version = 11;
-  if (target.capacity() > 512) target = {};
+  if (target.capacity() > 512) std::string().swap(target);
   target.clear();
   for (Field* field :
        {&host, &txn, &lane, &remaining, &org, &estimate, &idempotency_key, &content_type, &expect})
--- a/src/http1/reader.h
+++ b/src/http1/reader.h
@@ -20,7 +20,7 @@
   unsigned times = 0;
   // Keeps its memory for the next message's, but not what one peer alone has made large.
   void clear() {
-    if (value.capacity() > 512) value = {};
+    if (value.capacity() > 512) std::string().swap(value);
     value.clear();
     times = 0;
   }
--- a/src/http1/transport.cpp
+++ b/src/http1/transport.cpp
@@ -366,7 +366,7 @@
     Upstream& owner = *owner_;
     const auto self = shared_from_this();
     end_stream(BodyStream::State::whole);
-    body_ = {};
+    std::string().swap(body_);
     owner.passing_.erase(self);
     if (!keep) return owner.drop(self);
     last_used = owner.clock_.now();
@@ -394,7 +394,7 @@
     const AttemptId attempt = job_->attempt;
     job_.reset();
     lease_ = {};
-    body_ = {};
+    std::string().swap(body_);
     const Time now = owner.clock_.now();
     if (outcome == Outcome::served || outcome == Outcome::miss) owner.answered_after(now - began);
     if (drained_) {
@@ -436,7 +436,8 @@
   std::array<char, kChunk> chunk_;
 };
 
-Upstream::Upstream(asio::io_context& io, Clock& clock, Links& links, Outcomes& outcomes, std::string name)
+Upstream::Upstream(asio::io_context& io, TimeSource& clock, Links& links, Outcomes& outcomes,
+                   std::string name)
     : io_(io),
       clock_(clock),
       links_(links),
--- a/src/http1/transport.h
+++ b/src/http1/transport.h
@@ -12,15 +12,16 @@
 #include <utility>
 #include <vector>
 
+#include "engine/time.h"
 #include "engine/transport.h"
-#include "net/clock.h"
 #include "net/links.h"
 
 namespace streampick::node {
 
 class Upstream final : public Transport {
  public:
-  Upstream(boost::asio::io_context& io, Clock& clock, Links& links, Outcomes& outcomes, std::string name);
+  Upstream(boost::asio::io_context& io, TimeSource& clock, Links& links, Outcomes& outcomes,
+           std::string name);
   ~Upstream() override;
   Upstream(const Upstream&) = delete;
   Upstream& operator=(const Upstream&) = delete;
@@ -53,7 +54,7 @@
   void end_soon(AttemptId attempt, Outcome outcome);
 
   boost::asio::io_context& io_;
-  Clock& clock_;
+  TimeSource& clock_;
   Links& links_;
   Outcomes& outcomes_;
   std::string name_, address_text_;
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -4,18 +4,33 @@
 #include <chrono>
 #include <cstddef>
 #include <iostream>
+#include <string>
+#include <utility>
 
 namespace streampick::node {
 
+namespace {
+thread_local std::function<void(std::string_view)>* sink = nullptr;
+
+void write(std::string_view text) {
+  if (sink != nullptr) return (*sink)(text);
+  std::cerr << "streampick: " << text << '\n';
+}
+}  // namespace
+
+LogSink::LogSink(std::function<void(std::string_view)> to)
+    : to_(std::move(to)), before_(std::exchange(sink, &to_)) {}
+LogSink::~LogSink() { sink = before_; }
+
 // A peer that sends nonsense in a loop must not fill the platform's disk.
 void log(std::string_view text) {
   constexpr int kPerSecond = 50;
   constexpr std::size_t kLongest = 400;
-  static auto second = std::chrono::steady_clock::time_point{};
-  static int written = 0, dropped = 0;
+  thread_local auto second = std::chrono::steady_clock::time_point{};
+  thread_local int written = 0, dropped = 0;
   const auto now = std::chrono::steady_clock::now();
   if (now - second >= std::chrono::seconds(1)) {
-    if (dropped > 0) std::cerr << "streampick: " << dropped << " log lines dropped\n";
+    if (dropped > 0) write(std::to_string(dropped) + " log lines dropped");
     second = now;
     written = dropped = 0;
   }
@@ -24,7 +39,7 @@
     return;
   }
   ++written;
-  std::cerr << "streampick: " << text.substr(0, std::min(text.size(), kLongest)) << '\n';
+  write(text.substr(0, std::min(text.size(), kLongest)));
 }
 
 }  // namespace streampick::node
--- /dev/null
+++ b/src/plugin/c_api.cpp
@@ -0,0 +1,102 @@
+#include <algorithm>
+#include <cstring>
+#include <memory>
+#include <new>
+#include <string>
+
+#include "streampick/client.h"
+#include "streampick/streampick.h"
+
+struct streampick_client {
+  explicit streampick_client(const streampick::ClientSettings& settings) : client(settings) {}
+  streampick::Client client;
+};
+struct streampick_call {
+  streampick::Call call;
+};
+
+namespace {
+
+std::string text(const char* from) { return from == nullptr ? std::string() : std::string(from); }
+
+streampick::CallOptions read(const streampick_options* options) {
+  streampick::CallOptions out;
+  if (options == nullptr) return out;
+  out.request_class = text(options->request_class);
+  out.tenant = text(options->tenant);
+  out.idempotency_key = text(options->idempotency_key);
+  out.content_type = text(options->content_type);
+  out.deadline = std::chrono::microseconds(options->deadline_us);
+  return out;
+}
+
+streampick::Client::Callback wrap(streampick_callback callback, void* user) {
+  return [callback, user](const streampick::Result& result) {
+    if (callback == nullptr) return;
+    const streampick_result out{static_cast<streampick_status>(result.status),
+                                result.value.data(),
+                                result.value.size(),
+                                result.content_type.c_str(),
+                                result.reason.c_str(),
+                                result.retry_after.count(),
+                                result.late ? 1 : 0,
+                                result.absent ? 1 : 0,
+                                result.may_have_run ? 1 : 0};
+    callback(&out, user);
+  };
+}
+
+// No exception may reach a caller that has none.
+template <class Begin>
+streampick_call* begin(Begin call) {
+  try {
+    auto out = std::make_unique<streampick_call>();
+    out->call = call();
+    return out.release();
+  } catch (...) {
+    return nullptr;
+  }
+}
+
+}  // namespace
+
+streampick_client* streampick_open(const char* config, char* error, size_t error_size) {
+  std::string why;
+  try {
+    streampick::ClientSettings settings;
+    settings.config = text(config);
+    return new streampick_client(settings);
+  } catch (const std::exception& wrong) {
+    why = wrong.what();
+  }
+  if (error != nullptr && error_size > 0) {
+    const std::size_t size = std::min(why.size(), error_size - 1);
+    std::memcpy(error, why.data(), size);
+    error[size] = '\0';
+  }
+  return nullptr;
+}
+
+void streampick_close(streampick_client* client) { delete client; }
+
+streampick_call* streampick_get(streampick_client* client, const char* key, const streampick_options* options,
+                                streampick_callback callback, void* user) {
+  return begin([&] { return client->client.get(text(key), read(options), wrap(callback, user)); });
+}
+
+streampick_call* streampick_put(streampick_client* client, const char* key, const char* value, size_t value_size,
+                                const streampick_options* options, streampick_callback callback, void* user) {
+  return begin([&] {
+    std::string copy = value == nullptr ? std::string() : std::string(value, value_size);
+    return client->client.put(text(key), std::move(copy), read(options), wrap(callback, user));
+  });
+}
+
+void streampick_cancel(streampick_call* call) {
+  if (call != nullptr) call->call.cancel();
+}
+void streampick_release(streampick_call* call) { delete call; }
+
+int streampick_drain(streampick_client* client, int64_t longest_us) {
+  return client->client.drain(std::chrono::microseconds(longest_us)) ? 1 : 0;
+}
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -218,8 +218,6 @@
   }
 };
 
-// ---- The interface --------------------------------------------------------------------------
-
 Router::Router(Config config, std::uint64_t seed, Time now, ActionSink& sink)
     : impl_(std::make_unique<Impl>(std::move(config), seed, now, sink)) {}
 Router::~Router() = default;
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -1,5 +1,5 @@
-// What the decisions share: servers, open requests, timers, limits, and the few questions that all ask of
-// them. Each concern is a layer on it, in a file of its own; a layer knows those below it.
+// What the decisions share. Each concern is a layer on it, in a file of its own; a layer knows those below
+// it.
 #pragma once
 
 #include <algorithm>
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <deque>
 #include <map>
+#include <memory_resource>
 #include <queue>
 #include <tuple>
 #include <unordered_map>
@@ -198,7 +199,8 @@
 
   std::vector<Open> open_;
   std::vector<std::uint32_t> free_;
-  std::unordered_map<RequestId, std::uint32_t> slots_;  // looked up only, never walked
+  std::pmr::unsynchronized_pool_resource pool_;
+  std::pmr::unordered_map<RequestId, std::uint32_t> slots_{&pool_};  // never walked
 
   double copy_tokens_ = 0, copy_most_ = 0, retry_tokens_ = kRetryBudgetBurst;
   std::vector<double> class_took_;  // usual time of an answer without a hint, by class
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "engine/keys.h"
 #include "net/log.h"
 #include "net/tcp.h"
 
@@ -33,42 +34,8 @@
 constexpr int kRounds = 16;
 constexpr std::chrono::milliseconds kSweepEvery{250};
 
-std::string hex(std::uint64_t value) {
-  std::array<char, 16> digits{};
-  for (std::size_t i = digits.size(); i-- > 0; value >>= 4U) digits[i] = "0123456789abcdef"[value & 15U];
-  return {digits.data(), digits.size()};
-}
-
-// As the HTTP side has it, so that a key is the same key at whichever front it is named.
-std::uint64_t key_number(const std::string& escaped) {
-  std::uint64_t value = 0;
-  const char* end = escaped.data() + escaped.size();
-  const auto parsed = std::from_chars(escaped.data(), end, value, 16);
-  if (escaped.size() == 16 && parsed.ec == std::errc{} && parsed.ptr == end) return value;
-  return hash_name(escaped);
-}
-
 }  // namespace
 
-std::string escape_key(std::string_view key) {
-  constexpr std::string_view plain = "-._~!$&'()*+,;=:@";
-  std::string out;
-  out.reserve(key.size());
-  for (const char c : key) {
-    const bool as_it_is = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
-                          plain.find(c) != std::string_view::npos;
-    if (as_it_is) {
-      out += c;
-    } else {
-      const auto byte = static_cast<unsigned char>(c);
-      out += '%';
-      out += "0123456789ABCDEF"[byte >> 4U];
-      out += "0123456789ABCDEF"[byte & 15U];
-    }
-  }
-  return out;
-}
-
 class RespFront::Session final : public node::Asker, public std::enable_shared_from_this<Session> {
  public:
   Session(RespFront& owner, tcp::socket socket, std::int64_t id)
@@ -204,7 +171,7 @@
     submit_all();
     pending_.erase(0, consume(pending_));
     if (conversation_.over()) pending_.clear();
-    if (pending_.empty() && pending_.capacity() > 64) pending_ = {};
+    if (pending_.empty() && pending_.capacity() > 64) std::string().swap(pending_);
   }
 
   // How much of what came could be taken now.
@@ -237,8 +204,8 @@
     incoming.tenant = ask.tenant.empty() ? kNone : index_of(owner_->names_.tenants, ask.tenant);
     incoming.remaining = patience;
     incoming.has_key = true;
-    const std::string escaped = escape_key(ask.part.key);
-    incoming.key = key_number(escaped);
+    const std::string escaped = node::escape_key(ask.part.key);
+    incoming.key = node::key_number(escaped);
     incoming.message = std::make_shared<node::Message>();
     node::Message& message = *incoming.message;
     message.operation = ask.part.operation;
@@ -249,7 +216,7 @@
     message.idempotency_key = std::move(ask.idempotency_key);
     if (ask.id.empty()) {
       incoming.txn = owner_->next_id();
-      message.txn = hex(incoming.txn);
+      message.txn = node::hex(incoming.txn);
     } else {
       std::from_chars(ask.id.data(), ask.id.data() + ask.id.size(), incoming.txn, 16);
       message.txn = std::move(ask.id);
@@ -318,7 +285,7 @@
       }
       if (error) return close();
     }
-    out_ = {};
+    std::string().swap(out_);
     conversation_.written();
     count();
   }
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -92,7 +92,4 @@
   Counts counts_;
 };
 
-// A key as a part of a path: what a path may not hold as it is stands as %XX.
-std::string escape_key(std::string_view key);
-
 }  // namespace streampick::resp
--- a/src/roster/discovery.cpp
+++ b/src/roster/discovery.cpp
@@ -158,6 +158,14 @@
   watch();
 }
 
+void Discovery::read_anew() {
+  revision_ = 0;
+  backoff_ = kBackoffFirst;
+  retry_.cancel();
+  ++turn_;
+  watch();
+}
+
 void Discovery::stop() {
   stopped_ = true;
   if (watch_) watch_->close();
--- a/src/roster/discovery.h
+++ b/src/roster/discovery.h
@@ -27,6 +27,8 @@
   void watch() override;
   // Another discovery, whose revisions may start anew: it is asked at once, for all it has.
   void move_to(const boost::asio::ip::tcp::endpoint& address);
+  // Asks for the whole list now, whatever is known.
+  void read_anew();
   void stop();
 
  private:
--- /dev/null
+++ b/tests/engine/message_pool_test.cpp
@@ -0,0 +1,45 @@
+#include "engine/message_pool.h"
+
+#include <gtest/gtest.h>
+
+namespace streampick::node {
+namespace {
+
+TEST(MessagePool, AMessageIsUsedAgainEmpty) {
+  MessagePool pool;
+  auto one = pool.take();
+  const Message* const first = one.get();
+  one->operation = Operation::write;
+  one->target = "/save/1";
+  one->idempotency_key = "k";
+  one->words = {"SET"};
+  one->in_parts = true;
+  one.reset();
+  const auto two = pool.take();
+  EXPECT_EQ(two.get(), first);
+  EXPECT_EQ(two->operation, Operation::read);
+  EXPECT_TRUE(two->target.empty() && two->idempotency_key.empty() && two->words.empty());
+  EXPECT_FALSE(two->in_parts);
+}
+
+TEST(MessagePool, WhatOneClientMadeLargeIsNotKept) {
+  MessagePool pool;
+  auto one = pool.take();
+  one->body.assign(60'000, 'x');
+  one.reset();
+  EXPECT_LT(pool.take()->body.capacity(), 1'000U);
+}
+
+TEST(MessagePool, AMessageMayOutliveItsPool) {
+  std::shared_ptr<Message> last;
+  {
+    MessagePool pool;
+    last = pool.take();
+    last->key = "still here, though the pool has gone";
+  }
+  EXPECT_EQ(last->key.size(), 36U);
+  last.reset();
+}
+
+}  // namespace
+}  // namespace streampick::node
--- /dev/null
+++ b/tests/plugin/pause_test.cpp
@@ -0,0 +1,105 @@
+// A host that stands still with calls in flight: a child process that is stopped and let go on.
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+
+#include "fleet.h"
+#include "report.h"
+
+namespace streampick::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Starts a process (host_main.cpp) that opens a client, asks for `calls` reads, says so, and reports what
+// became of them. Nothing but exec stands between fork and the new program.
+class Host {
+ public:
+  Host(const ClientSettings& settings, int calls, std::chrono::milliseconds deadline)
+      : path_(std::filesystem::temp_directory_path() /
+              ("streampick-host-" + std::to_string(::getpid()) + ".json")) {
+    std::ofstream(path_) << settings.config;
+    const std::string path = path_.string(), many = std::to_string(calls),
+                      limit = std::to_string(deadline.count());
+    std::array<int, 2> out{};
+    if (::pipe(out.data()) != 0) std::abort();
+    child_ = ::fork();
+    if (child_ == 0) {
+      ::dup2(out[1], 3);
+      ::execl(STREAMPICK_PLUGIN_HOST, STREAMPICK_PLUGIN_HOST, path.c_str(), many.c_str(), limit.c_str(),
+              nullptr);
+      ::_exit(9);
+    }
+    ::close(out[1]);
+    in_ = out[0];
+    char ready = 0;
+    (void)!::read(in_, &ready, 1);
+  }
+  ~Host() {
+    ::close(in_);
+    std::filesystem::remove(path_);
+  }
+  void stop_for(std::chrono::milliseconds time) {
+    ::kill(child_, SIGSTOP);
+    int status = 0;
+    ::waitpid(child_, &status, WUNTRACED);
+    std::this_thread::sleep_for(time);
+    ::kill(child_, SIGCONT);
+  }
+  Report report() {
+    Report out;
+    if (::read(in_, &out, sizeof out) != sizeof out) ADD_FAILURE() << "the host said nothing";
+    int status = 0;
+    ::waitpid(child_, &status, 0);
+    EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+    return out;
+  }
+
+ private:
+  std::filesystem::path path_;
+  pid_t child_ = -1;
+  int in_ = -1;
+};
+
+TEST(PluginPause, WhatItsTimeWasUpForMeanwhileIsNotServedThoughItsAnswerLiesThere) {
+  StandinFleet fleet(3, 300ms);
+  Host host(fleet.settings, 4, 1'000ms);
+  while (fleet.requests() < 4) std::this_thread::sleep_for(1ms);
+  host.stop_for(2'000ms);  // the answers come while it stands still
+  const Report report = host.report();
+  EXPECT_EQ(report.ends, 4);
+  EXPECT_EQ(report.served, 0);
+  EXPECT_EQ(report.failed, 4);
+  EXPECT_EQ(report.late, 4);
+  EXPECT_GE(report.pauses, 1U);
+}
+
+TEST(PluginPause, WhatHasTimeLeftIsServedAndNoCopiesGoOutForTheTimersThatFellDue) {
+  StandinFleet fleet(4, 600ms);
+  Host host(fleet.settings, 8, 4'000ms);
+  while (fleet.requests() < 8) std::this_thread::sleep_for(1ms);
+  host.stop_for(1'000ms);
+  const Report report = host.report();
+  EXPECT_EQ(report.served, 8);
+  // Eight timers of 320 ms fell due during the pause; a copy for each would be sixteen attempts.
+  EXPECT_LE(report.attempts, 10U);
+  EXPECT_GE(report.pauses, 1U);
+}
+
+TEST(PluginPause, AShortOneChangesNothing) {
+  StandinFleet fleet(3, 200ms);
+  Host host(fleet.settings, 4, 4'000ms);
+  host.stop_for(50ms);
+  const Report report = host.report();
+  EXPECT_EQ(report.served, 4);
+  EXPECT_EQ(report.attempts, 4U);
+}
+
+}  // namespace
+}  // namespace streampick::test
