--- a/include/streampick/streampick.h
+++ b/include/streampick/streampick.h
@@ -1,5 +1,5 @@
-/* The client library for C and for languages that bind to C: the router inside a host process. What each thing
- * means is said in streampick/client.h. Functions may be called from any thread; strings are copied.
+/* The client library for C and for languages that bind to C: the router inside a host process. What each
+ * thing means is said in streampick/client.h. Functions may be called from any thread; strings are copied.
  */
 #ifndef STREAMPICK_STREAMPICK_H
 #define STREAMPICK_STREAMPICK_H
@@ -51,25 +51,26 @@
 /* Called once for each call, on a thread of the client's. */
 typedef void (*streampick_callback)(const streampick_result* result, void* user);
 
-/* `config`: the platform's configuration as JSON text. Null when it can't be used: then `error`, of `error_size`
- * bytes, holds one line that says why, ended by a zero byte. */
+/* `config`: the platform's configuration as JSON text. Null when it can't be used: then `error`, of
+ * `error_size` bytes, holds one line that says why, ended by a zero byte. */
 STREAMPICK_C_API streampick_client* streampick_open(const char* config, char* error, size_t error_size);
 /* Open calls end as withdrawn first. Null does nothing. */
 STREAMPICK_C_API void streampick_close(streampick_client* client);
 
-/* Each returns a call to be given to streampick_release, or null where the memory is used up; then no callback
- * comes. `key` is ended by a zero byte. */
+/* Each returns a call to be given to streampick_release, or null where the memory is used up; then no
+ * callback comes. `key` is ended by a zero byte. */
 STREAMPICK_C_API streampick_call* streampick_get(streampick_client* client, const char* key,
                                                  const streampick_options* options,
                                                  streampick_callback callback, void* user);
-STREAMPICK_C_API streampick_call* streampick_put(streampick_client* client, const char* key, const char* value,
-                                                 size_t value_size, const streampick_options* options,
+STREAMPICK_C_API streampick_call* streampick_put(streampick_client* client, const char* key,
+                                                 const char* value, size_t value_size,
+                                                 const streampick_options* options,
                                                  streampick_callback callback, void* user);
 STREAMPICK_C_API void streampick_cancel(streampick_call* call);
 /* Forgets the handle; the call goes on. Null does nothing. */
 STREAMPICK_C_API void streampick_release(streampick_call* call);
-/* Takes no more calls and waits for the open ones; what is left after `longest_us` ends as withdrawn. Returns 1
- * when none was left. */
+/* Takes no more calls and waits for the open ones; what is left after `longest_us` ends as withdrawn. Returns
+ * 1 when none was left. */
 STREAMPICK_C_API int streampick_drain(streampick_client* client, int64_t longest_us);
 
 #ifdef __cplusplus
--- a/src/plugin/c_api.cpp
+++ b/src/plugin/c_api.cpp
@@ -84,8 +84,9 @@
   return begin([&] { return client->client.get(text(key), read(options), wrap(callback, user)); });
 }
 
-streampick_call* streampick_put(streampick_client* client, const char* key, const char* value, size_t value_size,
-                                const streampick_options* options, streampick_callback callback, void* user) {
+streampick_call* streampick_put(streampick_client* client, const char* key, const char* value,
+                                size_t value_size, const streampick_options* options,
+                                streampick_callback callback, void* user) {
   return begin([&] {
     std::string copy = value == nullptr ? std::string() : std::string(value, value_size);
     return client->client.put(text(key), std::move(copy), read(options), wrap(callback, user));
