The platform's configuration has a room of its own, used by daemon and client library

Need: the client library reached into src/daemon for node_settings. It moves to src/platform, unchanged; Discovery's move to another address and its reading anew share their steps.

--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -9,11 +9,11 @@
 #include <optional>
 #include <string>
 
-#include "daemon/node_settings.h"
 #include "engine/engine.h"
 #include "http1/front.h"
 #include "net/clock.h"
 #include "net/links.h"
+#include "platform/node_settings.h"
 #include "roster/discovery.h"
 #ifdef STREAMPICK_WITH_OPTIONS
 #include "daemon/options.h"
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -10,8 +10,8 @@
 #include <string>
 
 #include "daemon/host.h"
-#include "daemon/node_settings.h"
 #include "net/log.h"
+#include "platform/node_settings.h"
 #ifdef STREAMPICK_WITH_OPTIONS
 #include <CLI/CLI.hpp>
 
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -4,9 +4,9 @@
 
 #include <string>
 
-#include "daemon/node_settings.h"
 #include "options/table.h"
 #include "overload/settings.h"
+#include "platform/node_settings.h"
 #ifdef STREAMPICK_WITH_RESP
 #include "resp/options.h"
 #endif
--- a/src/daemon/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -1,4 +1,4 @@
-#include "daemon/node_settings.h"
+#include "platform/node_settings.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/plugin/client.cpp
+++ b/src/plugin/client.cpp
@@ -17,12 +17,12 @@
 #include <unordered_map>
 #include <vector>
 
-#include "daemon/node_settings.h"
 #include "engine/engine.h"
 #include "engine/keys.h"
 #include "http1/transport.h"
 #include "net/links.h"
 #include "net/log.h"
+#include "platform/node_settings.h"
 #include "plugin/callbacks.h"
 #include "plugin/held_transport.h"
 #include "plugin/host_clock.h"
--- a/src/roster/discovery.cpp
+++ b/src/roster/discovery.cpp
@@ -151,11 +151,7 @@
   if (address == address_) return;
   log("discovery is now at " + address.address().to_string() + ":" + std::to_string(address.port()));
   address_ = address;
-  revision_ = 0;
-  backoff_ = kBackoffFirst;
-  retry_.cancel();
-  ++turn_;
-  watch();
+  read_anew();
 }
 
 void Discovery::read_anew() {
