An origin read that is asked again closes its first connection

Cause: a stuck origin read was cancelled as a loser of a race is: its connection stayed open to be drained, so that the repeat was out beside its first, a second copy on an open connection. Change: where the request goes on, the cancelled attempt is closed at once. Tests for that, and for the engine after a pause of its host (late ones fail at once, no copies, departures in the first list hold at once).

--- a/src/engine/body_stream.h
+++ b/src/engine/body_stream.h
@@ -31,7 +31,6 @@
   // Returns whether there is room for more; false: to be asked again after `room`.
   bool put(std::string_view bytes);
   void end(State how);  // whole or cut; nothing is put after it
-  bool wanted() const { return wanted_; }
 
   // ---- The reader's side. `came`: there is something to take, or the end.
   std::function<void()> came;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -84,7 +84,9 @@
   const Attempt& ends = found->second.attempts[attempt];
   if (!ends.live) return;
   ++counts_.cancels;
-  servers_[ends.server].transport->forget({request, attempt}, Transport::Forget::unwanted);
+  // Where the request goes on it is asked again, and its first must not be out beside that: it is closed.
+  const auto why = found->second.over ? Transport::Forget::unwanted : Transport::Forget::overdue;
+  servers_[ends.server].transport->forget({request, attempt}, why);
   ended_.push_back({{request, attempt}, Outcome::cancelled});
 }
 
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -125,7 +125,6 @@
   void store_back(const Open& open, const Answer& answer);
   void void_copies(const std::string& key);
   void report(AttemptId attempt, Outcome outcome);
-  void end_attempt(AttemptId attempt, Outcome outcome);
   void forget_if_done(RequestId request);
   void forget_txns();
   void forget_if_gone(ServerId server);
--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -267,5 +267,55 @@
   EXPECT_EQ(fleet.kept.size(), 2U);
 }
 
+// ---- What is stuck, and a host that stands still
+
+TEST_F(EngineTest, AnOriginReadThatIsAskedAgainIsClosedFirstAndALoserIsNot) {
+  ask(kRead, 1, 8 * kSecond, 1);
+  end(0, Outcome::miss);
+  ASSERT_EQ(fleet.sent.at(1).server, "origin");
+  for (std::uint64_t key = 2; key < 42; ++key) {
+    ask(kRead, key, 8 * kSecond, key);
+    end(fleet.sent.size() - 1, Outcome::miss);
+    time.advance(5 * kMs);
+    end(fleet.sent.size() - 1, Outcome::served);
+  }
+  time.advance(1'000 * kMs);
+  EXPECT_TRUE(fleet.sent.at(1).closed);
+  ASSERT_EQ(fleet.sent.back().server, "origin");
+  EXPECT_EQ(fleet.sent.back().attempt.request, fleet.sent.at(1).attempt.request);
+  end(fleet.sent.size() - 1, Outcome::served);
+  // A copy that lost: its answer may be waited for.
+  const std::size_t first = fleet.sent.size();
+  ask(kRead, 100, 8 * kSecond, 100);
+  time.advance(1'000 * kMs);
+  ASSERT_GT(fleet.sent.size(), first + 1);
+  end(first, Outcome::served);
+  EXPECT_TRUE(fleet.sent.at(first + 1).forgotten);
+  EXPECT_FALSE(fleet.sent.at(first + 1).closed);
+}
+
+TEST_F(EngineTest, AfterAPauseWhatItsTimeIsUpForFailsAtOnceAndTheRestHasThatMuchLess) {
+  ask(kRead, 1, 2 * kSecond, 1);
+  ask(kRead, 2, 8 * kSecond, 2);
+  const std::size_t before = fleet.sent.size();
+  engine->stood_still(3 * kSecond);  // left out of `time`, as the client's clock does
+  ASSERT_EQ(replies(), 1U);
+  EXPECT_EQ(asker->replies[0].first, 1U);
+  EXPECT_EQ(reply().kind, Reply::Kind::failed);
+  EXPECT_TRUE(reply().late);
+  EXPECT_EQ(fleet.sent.size(), before);  // no copy for the time that nobody saw
+  time.advance(5 * kSecond);             // of eight, three were gone
+  EXPECT_EQ(replies(), 2U);
+  EXPECT_TRUE(log.empty());  // it was not the guard
+}
+
+TEST_F(EngineTest, WhatTheFirstListAfterAPauseSaysOfDeparturesHoldsAtOnce) {
+  engine->stood_still(3 * kSecond);
+  engine->list_came(list(2, true, {{"c-1", Phase::draining}, {"c-2", Phase::ready}}, true));
+  EXPECT_EQ(fleet.nothing_from("c-1"), time.now());
+  engine->list_came(list(3, false, {{"c-2", Phase::draining}}));
+  EXPECT_EQ(fleet.nothing_from("c-2"), time.now() + kSecond);  // news again: half the grace
+}
+
 }  // namespace
 }  // namespace streampick::node::test
--- a/tests/engine/hand_driven.h
+++ b/tests/engine/hand_driven.h
@@ -59,6 +59,7 @@
   std::shared_ptr<const Message> message;
   Time at;
   bool forgotten = false;
+  bool closed = false;  // forgotten as overdue: its connection is not waited for
 };
 
 class Fleet final : public Transports {
@@ -67,6 +68,7 @@
   std::unique_ptr<Transport> make(const std::string& name, std::uint32_t) override {
     return std::make_unique<Server>(*this, name);
   }
+  Time nothing_from(const std::string& name) const { return by_name_.at(name)->nothing_from(); }
   std::vector<Sent> sent;
   std::vector<std::pair<std::string, std::string>> kept;  // server, value
   std::set<std::string> gone;                             // whose transport was given up
@@ -74,15 +76,23 @@
 
  private:
   struct Server final : Transport {
-    Server(Fleet& owner, std::string name) : owner_(owner), name_(std::move(name)) {}
-    ~Server() override { owner_.gone.insert(name_); }
+    Server(Fleet& owner, std::string name) : owner_(owner), name_(std::move(name)) {
+      owner_.by_name_[name_] = this;
+    }
+    ~Server() override {
+      owner_.gone.insert(name_);
+      owner_.by_name_.erase(name_);
+    }
     void set_address(const std::string&) override {}
     void send(AttemptId attempt, std::shared_ptr<const Message> message, Time) override {
       owner_.sent.push_back({name_, attempt, std::move(message), owner_.time_.now()});
     }
-    void forget(AttemptId attempt, Forget) override {
+    void forget(AttemptId attempt, Forget why) override {
       for (Sent& sent : owner_.sent)
-        if (sent.attempt == attempt) sent.forgotten = true;
+        if (sent.attempt == attempt) {
+          sent.forgotten = true;
+          sent.closed = why == Forget::overdue;
+        }
     }
     void close_idle(Time) override {}
     bool close_oldest_idle() override { return false; }
@@ -94,6 +104,7 @@
     std::string name_;
   };
   HandDriven& time_;
+  std::map<std::string, Server*> by_name_;
 };
 
 struct RecordingAsker final : Asker {
