Refusals under pressure end with a rest; the processor's time is read once a window

Cause: the level of refusal outlived a rest of any length, since a resting loop has no window that lowers it: the first requests after a quiet night could be refused. Change: a level is dropped where the last window is over 2 s old; the clock is asked at a window's ends; a calm front skips the look at the class. Measured: test ALevelDoesNotOutliveARest fails without it.

--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -293,6 +293,7 @@
   // Turned away while the loop is behind: before a body is read, and before anything is made of the head.
   // What can't be read of it is left to those who say what is wrong with it.
   bool shed() {
+    if (owner_->admission_.calm()) return false;
     const std::string_view target = origin_form(head_.target);
     if (target.empty() || target.front() != '/') return false;
     const std::string_view first = target.substr(1, target.find('/', 1) - 1);
--- a/src/net/admission.h
+++ b/src/net/admission.h
@@ -27,9 +27,11 @@
 
   // Something came from a client.
   void touch() { lag_.touch(); }
+  // Whether nothing is refused now, whoever asks.
+  bool calm() const { return pressure_.level() <= 0; }
   // `id`: the client's own, whatever it is.
   bool refuses(std::uint32_t request_class, Time remaining, std::uint64_t id) {
-    if (pressure_.level() <= 0 || request_class >= worth_.size()) return false;
+    if (calm() || request_class >= worth_.size()) return false;
     const bool out = pressure_.refuses({worth_[request_class], remaining, spared_[request_class], id});
     if (out) ++refused_;
     return out;
--- a/src/net/loop_lag.h
+++ b/src/net/loop_lag.h
@@ -21,11 +21,12 @@
     if (queued_ || pressure_.off()) return;
     queued_ = true;
     const auto at = Steady::now();
+    pressure_.came(us(at.time_since_epoch()));
     boost::asio::post(io_, [this, at, alive = std::weak_ptr<bool>(alive_)] {
       if (!alive.lock()) return;
       queued_ = false;
       const auto now = Steady::now();
-      pressure_.sample(us(now.time_since_epoch()), us(now - at), cpu(now));
+      pressure_.sample(us(now.time_since_epoch()), us(now - at), cpu);
     });
   }
 
@@ -34,20 +35,15 @@
   static long long us(Steady::duration time) {
     return std::chrono::duration_cast<std::chrono::microseconds>(time).count();
   }
-  // Read a few times a second: the call goes to the kernel.
-  long long cpu(Steady::time_point now) {
-    if (now - read_ < std::chrono::milliseconds(50)) return cpu_;
-    read_ = now;
+  static long long cpu() {
     timespec used{};
     clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
-    return cpu_ = used.tv_sec * 1'000'000LL + used.tv_nsec / 1'000;
+    return used.tv_sec * 1'000'000LL + used.tv_nsec / 1'000;
   }
 
   boost::asio::io_context& io_;
   overload::Pressure& pressure_;
   std::shared_ptr<bool> alive_;  // a queued probe holds it weakly
-  Steady::time_point read_{};
-  long long cpu_ = 0;
   bool queued_ = false;
 };
 
--- a/src/overload/pressure.h
+++ b/src/overload/pressure.h
@@ -28,13 +28,19 @@
 
   bool off() const { return target_ <= 0; }
 
-  // The loop came to a probe `late` us after it was queued; `cpu`: us that the process has used so far.
-  // Returns whether a window ended with it.
-  bool sample(long long now, long long late, long long cpu) {
-    if (window_ == 0) begin(now, cpu);
+  // A probe is queued after a rest: what was learned before it holds no more.
+  void came(long long now) {
+    if (level_ > 0 && now - window_ > kRest) level_ = 0;
+  }
+  // The loop came to a probe `late` us after it was queued. `used_so_far` gives the us of the processor that
+  // the process has used; it is asked only where a window begins or ends. Returns whether one ended.
+  template <class Cpu>
+  bool sample(long long now, long long late, Cpu used_so_far) {
+    if (window_ == 0) begin(now, used_so_far());
     sum_ += static_cast<double>(late);
     ++samples_;
     if (now - window_ < kWindow) return false;
+    const long long cpu = used_so_far();
     const double mean = sum_ / static_cast<double>(samples_);
     const double used = static_cast<double>(cpu - cpu_) / (static_cast<double>(now - window_) * cores_);
     const double over = mean / static_cast<double>(target_) - 1;
@@ -46,7 +52,6 @@
     if (behind) {
       level_ = std::min(kMost, level_ + kUp + kUpMore * std::clamp(over, 0.0, 1.0));
     } else {
-      // After a rest of any length nothing of it holds.
       const double windows = static_cast<double>(now - window_) / static_cast<double>(kWindow);
       level_ = std::max(0.0, level_ - kDown * windows);
     }
@@ -83,6 +88,7 @@
 
  private:
   static constexpr long long kWindow = 100'000;  // us
+  static constexpr long long kRest = 20 * kWindow;
   static constexpr long long kTurns = 3;
   static constexpr double kUp = 0.04, kUpMore = 0.12, kDown = 0.02, kMost = 0.95;
   static constexpr double kNear = 0.5;     // of the target
--- a/tests/overload/pressure_test.cpp
+++ b/tests/overload/pressure_test.cpp
@@ -24,7 +24,7 @@
     worst = 0;
     for (const long long end = now + time; now < end; now += every) {
       late = std::max(0.0, late - static_cast<double>(every));
-      pressure.sample(now, static_cast<long long>(late), cpu);
+      pressure.sample(now, static_cast<long long>(late), [this] { return cpu; });
       ++id;
       const bool low = id % 2 == 0, spared = id % 20 == 1;
       const bool out =
@@ -74,7 +74,7 @@
 TEST(Pressure, WhatCanNotBeInTimeIsRefusedFirst) {
   Pressure pressure;
   long long now = 1;
-  for (int i = 0; i < 30; ++i) pressure.sample(now += 10 * kMs, 100 * kMs, 0);
+  for (int i = 0; i < 30; ++i) pressure.sample(now += 10 * kMs, 100 * kMs, [] { return 0LL; });
   ASSERT_GT(pressure.level(), 0);
   EXPECT_TRUE(pressure.refuses({.worth = 1, .remaining = 200 * kMs, .id = ~0ULL / 3}));
   // A place near the end of the line: the highest worth and a high draw.
@@ -84,6 +84,17 @@
   EXPECT_GT(kept, 500);
 }
 
+TEST(Pressure, ALevelDoesNotOutliveARest) {
+  Pressure pressure;
+  long long now = 1;
+  for (int i = 0; i < 30; ++i) pressure.sample(now += 10 * kMs, 100 * kMs, [] { return 0LL; });
+  ASSERT_GT(pressure.level(), 0);
+  pressure.came(now + 100 * kMs);
+  EXPECT_GT(pressure.level(), 0);
+  pressure.came(now + 3 * kSecond);
+  EXPECT_EQ(pressure.level(), 0);
+}
+
 TEST(Pressure, SwitchedOffItNeverRefuses) {
   Settings settings;
   settings.late = 0;
@@ -99,8 +110,8 @@
   for (int i = 0; i < 100; ++i) {
     now += 10 * kMs;
     cpu += 5 * kMs;  // all of half a core
-    quick.sample(now, 1 * kMs, cpu);
-    slow.sample(now, 50 * kMs, cpu);
+    quick.sample(now, 1 * kMs, [&] { return cpu; });
+    slow.sample(now, 50 * kMs, [&] { return cpu; });
   }
   EXPECT_EQ(quick.level(), 0);
   EXPECT_GT(slow.level(), 0);
