--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -1,9 +1,7 @@
 // Sheds what cannot be answered in time, only under pressure: a limit on cache work in flight, cut when
 // answers take long or reads are turned away twice, raised while it is used. Tenants over their quota and
-// classes of less worth get less of it; a read waits a little for room, last in first out. It guards against
-// overload of any cause, crowds that make servers slower, and bursts. It hurts when answers are slow for a
-// reason that less work does not cure: then it refuses what would have been late but welcome. Writes that go
-// to the origin pass.
+// classes of less worth get less; a read waits a little for room, last in first out, in a bounded line. It
+// hurts where less work cures nothing. Writes that go to the origin pass.
 #pragma once
 
 #include "policy/origin.h"
@@ -21,16 +19,14 @@
   using Origin::Origin;
 
   bool use_quota(const Request& request) {
-    bool over_quota = false;
-    if (request.tenant < tenants_.size() && config_.tenants[request.tenant].quota_per_s > 0) {
-      TenantState& tenant = tenants_[request.tenant];
-      const double rate = config_.tenants[request.tenant].quota_per_s / config_.routers;
-      tenant.tokens += rate * static_cast<double>(now_ - tenant.filled) / kSecond;
-      tenant.tokens = std::min(tenant.tokens, rate * 2 + 2);
-      tenant.filled = now_;
-      over_quota = tenant.tokens < 1;
-      if (!over_quota) tenant.tokens -= 1;
-    }
+    if (request.tenant >= tenants_.size() || config_.tenants[request.tenant].quota_per_s <= 0) return false;
+    TenantState& tenant = tenants_[request.tenant];
+    const double rate = config_.tenants[request.tenant].quota_per_s / config_.routers;
+    tenant.tokens += rate * static_cast<double>(now_ - tenant.filled) / kSecond;
+    tenant.tokens = std::min(tenant.tokens, rate * 2 + 2);
+    tenant.filled = now_;
+    const bool over_quota = tenant.tokens < 1;
+    if (!over_quota) tenant.tokens -= 1;
     return over_quota;
   }
 
@@ -43,16 +39,38 @@
     return room;
   }
 
+  bool waits(const std::pair<std::uint32_t, std::uint32_t>& place) const {
+    const Open& open = open_[place.first];
+    return open.generation == place.second && !open.over && open.held;
+  }
+
+  // Last in, first out. A line that has not been empty for as long as a read may wait holds no burst any
+  // more: who waits there for longer than an answer takes waits in vain, and a connection with it.
+  void stand_in_line(std::uint32_t slot) {
+    Open& open = open_[slot];
+    if (entry_line_.empty()) line_since_ = now_;
+    Time longest = times(class_of(open).aim, kEntryWaitPerAim);
+    const auto usual = static_cast<Time>(class_took_[open.request.request_class]);
+    if (now_ - line_since_ > longest) longest = std::min(longest, usual);
+    open.held = true;
+    entry_line_.emplace_back(slot, open.generation);
+    add_timer(now_ + longest, Wake::entry, slot, open.generation);
+    drain_entry_line();
+  }
+
+  void leave_line(std::uint32_t slot) {
+    open_[slot].held = false;
+    while (!entry_line_.empty() && !waits(entry_line_.front())) entry_line_.pop_front();
+    last_resort(slot);
+  }
+
   void drain_entry_line() {
     while (!entry_line_.empty()) {
-      const auto [slot, generation] = entry_line_.back();
-      Open& open = open_[slot];
-      const bool stale = open.generation != generation || open.over || !open.held;
-      if (!stale && !admits(open.request, false)) return;
+      const auto place = entry_line_.back();
+      const bool waiting = waits(place);
+      if (waiting && !admits(open_[place.first].request, false)) return;
       entry_line_.pop_back();
-      if (stale) continue;
-      open.held = false;
-      start(slot);
+      if (waiting) open_[place.first].held = false, start(place.first);
     }
   }
 
--- a/src/policy/execution.h
+++ b/src/policy/execution.h
@@ -1,6 +1,5 @@
-// Copies after each constant delay, moving on per outcome, the origin read after a miss, and the deadline.
-// It guards against servers that pause, hang or fail; it is the one place that says what may be sent again.
-// It hurts when the whole fleet is slow, which is why copies have a budget.
+// Copies after each constant delay, moving on per outcome, the origin read after a miss, the deadline: the
+// one place that says what may be sent again. For when the whole fleet is slow, copies have a budget.
 #pragma once
 
 #include "policy/servers.h"
@@ -12,6 +11,8 @@
 inline constexpr double kCopyBudget = 0.15;     // copies per first attempt, over time
 inline constexpr double kCopyBudgetBurst = 2;   // ... and how many are saved up: for each server, shared
 
+inline constexpr double kFullWaitPerAim =
+    0.5;                                     // longest wait while all servers are full, as a share of the aim
 inline constexpr double kRetryBudget = 0.5;  // sends after one that may have run, per first attempt
 
 struct Execution : Servers {
@@ -46,10 +47,7 @@
   }
 
   std::uint32_t open_slot() {
-    if (free_.empty()) {
-      open_.emplace_back();
-      return static_cast<std::uint32_t>(open_.size() - 1);
-    }
+    if (free_.empty()) free_.push_back(static_cast<std::uint32_t>(open_.size())), open_.emplace_back();
     const std::uint32_t slot = free_.back();
     free_.pop_back();
     return slot;
@@ -61,7 +59,7 @@
     retry_tokens_ = std::min(kRetryBudgetBurst, retry_tokens_ + kRetryBudget);
     if (to_origin_first(open)) return ask_origin(slot);
     const ServerId server = pick(open, false);
-    if (server == kNone) return add_timer(now_ + kTick, Wake::hold, slot, open.generation);
+    if (server == kNone) return wait_for_a_server(slot);
     send(slot, server);
     if (class_of(open).effect == Effect::safe && config_.can_copy) {
       const Time delay = times(class_of(open).aim, kDelayPerAim);
@@ -69,6 +67,17 @@
     }
   }
 
+  // None is known, or all are full: those have room again before long, and what waits for them holds up
+  // others.
+  void wait_for_a_server(std::uint32_t slot) {
+    const Open& open = open_[slot];
+    if (!plan_.empty() && now_ - open.arrived >= times(class_of(open).aim, kFullWaitPerAim))
+      return last_resort(slot);
+    const auto soon = static_cast<Time>(class_took_[open.request.request_class] / 2);
+    const Time wait = plan_.empty() ? kTick : std::clamp<Time>(soon, 1'000, kTick);
+    add_timer(now_ + wait, Wake::hold, slot, open.generation);
+  }
+
   void send(std::uint32_t slot, ServerId server) {
     Open& open = open_[slot];
     Server& to = servers_[server];
@@ -101,8 +110,7 @@
         strike(server, server.zone->last_answer < attempt.sent);
       } else if (attempt.live && !attempt.stuck && !attempt.origin &&
                  server.answers - attempt.answers >= kOvertaken) {
-        // The server has answered many others since: what holds this one is no work of the server's, and
-        // counted as such it would move keys to servers that lack them.
+        // Many others were answered since: what holds this one is no work of the server's.
         attempt.stuck = true;
         ++server.stuck;
         ++stuck_;
@@ -168,12 +176,15 @@
         if (const ServerId server = pick(open, false); server != kNone) return send(slot, server);
       }
     }
-    if (open.live > 0) return;
-    // Every cache server turned it away, the origin has room: the last attempt was kept for that.
+    if (open.live == 0) last_resort(slot);
+  }
+
+  // The caches have no room, the origin may have: one read of what would be refused.
+  void last_resort(std::uint32_t slot) {
+    Open& open = open_[slot];
     const bool read =
         config_.aside && class_of(open).effect == Effect::safe && open.origin == OriginUse::none;
-    if (read && open.sent < max_attempts_ && origin_has_room()) return ask_origin(slot);
-    give_up(slot);
+    read&& open.sent < max_attempts_&& origin_has_room() ? ask_origin(slot) : give_up(slot);
   }
 
   void give_up(std::uint32_t slot) {
--- a/src/policy/origin.h
+++ b/src/policy/origin.h
@@ -109,8 +109,7 @@
     hand_over(slot, result.outcome == Outcome::served);
   }
 
-  // The read of a key has ended: its followers go back to the server that was filled, or the first
-  // of them becomes the next to read it.
+  // The read of a key has ended: followers go to the server that was filled, or the first reads it next.
   void hand_over(std::uint32_t slot, bool filled) override {
     Open& open = open_[slot];
     if (const auto found = fetching_.find(open.request.key);
--- a/src/policy/plan_index.h
+++ b/src/policy/plan_index.h
@@ -1,11 +1,9 @@
-// The servers of the plan, kept so that a key finds its few without a walk over all. No I/O, no clock.
-//
-// A trie over the servers' identities, which are hashes: a node of over kLeafMost servers has sixteen
-// children, by the next four bits. A key chooses a child by weighted rendezvous over the children's sums of
-// weights, and so on down to a leaf; there the router ranks the leaf's servers by the same rule, so that a
-// key comes to a server with the server's share of all weight, as it does in a walk over all. A change of one
-// server's weight moves keys only to or from it, at each level. Up to kLeafMost servers the root is a leaf
-// and holds all.
+// The servers of the plan, kept so that a key finds its few without a walk over all. No I/O, no clock. A trie
+// over identities, which are hashes: a node of over kLeafMost servers has sixteen children, by the next four
+// bits. A key chooses a child by weighted rendezvous over the children's sums of weights, down to a leaf,
+// whose servers are ranked alike: it comes to a server with that server's share of all weight. A change of
+// one weight moves keys only to or from that server, at each level. Up to kLeafMost servers the root is a
+// leaf and holds all.
 #pragma once
 
 #include <algorithm>
@@ -49,8 +47,7 @@
     node->weight += more;
   }
 
-  // The servers among which the key's is, by identity. `rank(hash, weight)` is the rule that the router ranks
-  // servers by: the highest is chosen at each level.
+  // The servers among which the key's is, by identity. `rank(hash, weight)`: what servers are ranked by.
   template <typename Rank>
   const std::vector<Entry>& leaf(std::uint64_t key, Rank&& rank) const {
     const Node* node = &root_;
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -1,8 +1,7 @@
-// Interface: include/streampick/router.h. All decisions and their constants are in this folder; the host only
-// carries events in and actions out. From the ground up: state.h, plan.h, servers.h, execution.h, origin.h,
-// admission.h, and here the events and the list of servers. Ordinary path: a key read goes to its
-// bounded-hash server; each further constant delay launches one more copy on the key's next; losers are
-// cancelled.
+// Interface: include/streampick/router.h. All decisions and their constants are in this folder. From the
+// ground up: state.h, plan.h, servers.h, execution.h, origin.h, admission.h, and here the events and the
+// list. Ordinary path: a key read goes to its bounded-hash server; each further constant delay without an
+// answer launches one more copy on the key's next server; losers are cancelled.
 #include "streampick/router.h"
 
 #include "policy/admission.h"
@@ -22,22 +21,12 @@
     const bool room = admits(request, over_quota);
     if (!room && over_quota) return sink_.refuse(request.id, advice(config_.max_retry_after / 2, request.id));
     const std::uint32_t slot = open_slot();
-    Open& open = open_[slot];
-    const std::uint32_t generation = open.generation + 1;
-    open = Open{};
-    open.request = request;
-    open.arrived = now;
-    open.generation = generation;
-    open.over = false;
-    open.used = true;
+    const std::uint32_t generation = open_[slot].generation + 1;
+    open_[slot] = {.request = request, .arrived = now, .over = false, .used = true, .generation = generation};
     slots_[request.id] = slot;
     add_timer(request.deadline, Wake::deadline, slot, generation);
-    if (room && entry_line_.empty()) return start(slot);
-    if (request.write && config_.aside) return start(slot);
-    open.held = true;
-    entry_line_.emplace_back(slot, generation);
-    add_timer(now_ + times(class_of(open).aim, kEntryWaitPerAim), Wake::entry, slot, generation);
-    drain_entry_line();
+    if ((room && entry_line_.empty()) || (request.write && config_.aside)) return start(slot);
+    stand_in_line(slot);
   }
 
   void on_stream_started(Time now, RequestId id) {
@@ -116,12 +105,7 @@
       if (stale(timer)) continue;
       switch (timer.wake) {
         case Wake::copy: launch_copy(timer.slot); break;
-        case Wake::entry:
-          // It still waits: of a read that got in this timer is stale.
-          open_[timer.slot].held = false;
-          // The caches have no room, the origin has: one read of what would be refused.
-          origin_has_room() ? ask_origin(timer.slot) : give_up(timer.slot);
-          break;
+        case Wake::entry: leave_line(timer.slot); break;  // of a read that got in this timer is stale
         case Wake::hold: resume(timer.slot); break;
         case Wake::deadline:
           // Attempts are cut to the deadline and report just after it; what is held ends here.
--- a/src/policy/servers.h
+++ b/src/policy/servers.h
@@ -1,7 +1,7 @@
-// Health from this router's own outcomes, slow start, drains. Speed learned from answers sets the weight;
-// bad outcomes in a row eject, for longer each time, and one trial request brings back. It guards against
-// slow, hung and unreachable servers. It hurts when the router's own network is at fault: where everything
-// looks bad, nothing is ejected.
+// Health from this router's own outcomes, slow start, drains. Speed learned from answers sets the weight; bad
+// outcomes in a row eject, for longer each time, and one trial request brings back. It guards against slow,
+// hung and unreachable servers. Where everything looks bad, as when our own network is at fault, nothing is
+// ejected.
 #pragma once
 
 #include "policy/plan.h"
@@ -78,8 +78,7 @@
     server.expected = server.expected * 0.97 + expected;
   }
 
-  // Connections: a server takes a bounded number, each takes some of its strength, a new one costs
-  // more. An idle one is kept for a time that falls when servers refuse new ones at once.
+  // Each connection takes some of a server's strength, a new one more: what they are kept for is learned.
   void link(ServerId id, const Attempt& attempt, const AttemptResult& result) {
     Server& server = servers_[id];
     if (result.outcome == Outcome::not_sent) return;
@@ -115,8 +114,7 @@
     add_timer(idle_timer_, Wake::idle);
   }
 
-  // What servers took, and of what they were expected to take, by kind: a server's own answers are few and
-  // would set each router's plans apart.
+  // By kind: a server's own answers are few, and would set each router's plans apart.
   struct Speeds {
     std::map<std::uint32_t, std::array<double, 2>> kinds;
     double took = 0, expected = 0, mean_weight = 0;
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -1,5 +1,4 @@
-// What the decisions share. Each concern is a layer on it, in a file of its own; a layer knows those below
-// it.
+// What the decisions share. Each concern is a layer on it, in a file of its own, and knows those below.
 #pragma once
 
 #include <algorithm>
@@ -49,8 +48,7 @@
          outcome == Outcome::miss;
 }
 
-// Of a server, and of all that share its zone or its cell: a quiet router hardly meets one server
-// twice in a while, but it meets what they have in common.
+// Of a server, and of all in its zone or its cell: a quiet router meets what servers have in common.
 struct Health {
   int strikes = 0, in_flight = 0;
   Time ejected_until = 0, eject_for = kEjectFirst, last_answer = 0;
@@ -103,7 +101,7 @@
   bool over = true, streaming = false, used = false, held = false;
   OriginUse origin = OriginUse::none;
   std::uint32_t generation = 0;
-  std::vector<std::uint32_t> followers;  // single-flight: slots that wait for this origin read
+  std::vector<std::uint32_t> followers = {};  // single-flight: slots that wait for this origin read
 };
 
 enum class Wake : std::uint8_t { copy, deadline, hold, entry, watch, tick, idle, line };  // four of a request
@@ -216,9 +214,9 @@
     Time filled = 0;
   };
   std::vector<TenantState> tenants_;
-  std::vector<std::pair<std::uint32_t, std::uint32_t>> entry_line_;
+  std::deque<std::pair<std::uint32_t, std::uint32_t>> entry_line_;
   double most_worth_ = 1e-9;  // of the classes that go to caches
-  Time crowding_at_ = 0, origin_at_ = 0, origin_cut_ = 0;
+  Time line_since_ = 0, crowding_at_ = 0, origin_at_ = 0, origin_cut_ = 0;
   double crowding_ = 0;      // usual time of a cache answer, as a share of its aim
   bool limit_used_ = false;  // it held work back since the last tick
   Limit cache_limit_;        // cache work in flight above which reads are shed; 0: no list yet
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -305,6 +305,51 @@
   }
 }
 
+// How long a read that finds no room stands before it is turned away, or read at the origin.
+Time stood(FakeHost& host, RequestId id) {
+  const Time came = host.now;
+  host.request(id, 0, id);
+  while (host.sends_of(id) == 0 && !host.ended.contains(id)) host.advance(kMs);
+  return host.now - came;
+}
+
+TEST(Admission, ABurstMayWaitAndALineThatStandsLetsGoWithinAnAnswersTime) {
+  FakeHost host;
+  answer_some(host, 10 * kMs);
+  RequestId next = 5'000;
+  do {
+    ++next;
+    host.request(next, 0, next);
+  } while (host.sends_of(next) == 1);  // as many as there is room for
+  EXPECT_GE(stood(host, 1), 150 * kMs);
+  // From now on there is always one that waits.
+  for (int i = 0; i < 300; ++i) {
+    ++next;
+    host.request(next, 0, next);
+    host.advance(2 * kMs);
+  }
+  EXPECT_LE(stood(host, 2), 20 * kMs);
+}
+
+// Whenever the only server may be asked again, another asks it first and is told that it is full.
+TEST(Admission, WhereAllServersAreFullAReadIsNotHeldBeyondHalfItsAim) {
+  FakeHost host(FakeHost::aside_config(), 1);
+  answer_some(host, 10 * kMs);
+  const Time came = host.now + 2 * kMs;
+  for (RequestId other = 2'000; other < 2'400; ++other) {
+    host.request(other, 0, other);
+    ASSERT_EQ(host.sends_of(other), 1U);
+    host.result(host.sends.size() - 1, Outcome::full);
+    host.advance(2 * kMs);
+    if (other == 2'000) host.request(1, 0, 1);
+    if (host.sends_of(1) > 0 || host.ended.contains(1)) break;
+    host.advance(3 * kMs);
+  }
+  EXPECT_GE(host.now - came, 450 * kMs);
+  EXPECT_LE(host.now - came, 550 * kMs);
+  EXPECT_EQ(host.ended[1], "refused");
+}
+
 TEST(Admission, UnderPressureTheTenantOverItsQuotaIsShedFirst) {
   Config config = with_copies();
   config.tenants = {{20}, {2'000}};
