gRPC C++ stubs over the client library: a channel whose unary calls the router carries out

Need: an application with generated stubs should not be written anew to have its reads and saves routed; the user asked for a plug-in to an RPC library. Change: streampick::rpc::open_channel(client, settings) gives a grpc::Channel whose routed unary calls go through a Client: an interceptor takes them over at their first point, and nothing of them reaches gRPC's transport, balancing or retries. Routes stand behind methods (option streampick.route) or in [grpc] of an options file, compiled against the program's types when the channel is opened; keys are templates over fields that never give two requests one key. Deadlines, cancellation, tenant, idempotency key and statuses are carried over; a refusal's time to come back is grpc-retry-pushback-ms. Off unless STREAMPICK_GRPC; the daemon links no gRPC. Measured: 50 routed calls, half of them failing, make no connection at the channel's own target, one unrouted call does; 480 calls of 8 threads with deadlines, cancels and stalls end once each with equal counts on both sides; the four scenarios that compare daemon and client hold for stubs too.

--- a/bench/plugin/plugin.cpp
+++ b/bench/plugin/plugin.cpp
@@ -21,6 +21,10 @@
 #include "standin/http_client.h"
 #include "standin/platform.h"
 #include "streampick/client.h"
+#ifdef STREAMPICK_WITH_GRPC
+#include "streampick/grpc.h"
+#include "streampick/tiles.grpc.pb.h"
+#endif
 
 namespace {
 
@@ -98,16 +102,29 @@
                        .id = ++last_id,
                        .value = {}}) == 200;
     };
-    std::vector<double> straight, through_daemon, through_client;
+    std::vector<double> straight, through_daemon, through_client, through_stub;
+    using Way = std::pair<std::vector<double>*, std::function<bool(int)>>;
+    std::vector<Way> ways = {{&straight, [&](int i) { return get(cache, i); }},
+                             {&through_daemon, [&](int i) { return get(daemon, i); }},
+                             {&through_client, [&](int i) {
+                                return client.get("sheet-" + std::to_string(i % 97)).get().status ==
+                                       Status::served;
+                              }}};
+#ifdef STREAMPICK_WITH_GRPC
+    const auto stub = tiles::Tiles::NewStub(rpc::open_channel(
+        std::make_shared<Client>(settings),
+        {.routes = {{"streampick.tiles.Tiles/ReadTile", "tile-read", false, "{sheet}", "image"}}}));
+    ways.emplace_back(&through_stub, [&](int i) {
+      grpc::ClientContext context;
+      tiles::ReadTileRequest request;
+      request.set_sheet("sheet-" + std::to_string(i % 97));
+      tiles::ReadTileResponse response;
+      return stub->ReadTile(&context, request, &response).ok();
+    });
+#endif
     // By turns: what else the machine does falls on all three.
     for (int round = 0; round < 10; ++round) {
-      for (auto& [to, call] : {std::pair<std::vector<double>*, std::function<bool(int)>>{
-                                   &straight, [&](int i) { return get(cache, i); }},
-                               {&through_daemon, [&](int i) { return get(daemon, i); }},
-                               {&through_client, [&](int i) {
-                                  return client.get("sheet-" + std::to_string(i % 97)).get().status ==
-                                         Status::served;
-                                }}}) {
+      for (auto& [to, call] : ways) {
         auto part = time_calls(calls / 10, call);
         to->insert(to->end(), part.begin(), part.end());
       }
@@ -115,6 +132,7 @@
     print("straight", straight);
     print("daemon", through_daemon);
     print("library", through_client);
+    if (!through_stub.empty()) print("gRPC stub", through_stub);
     std::printf("daemon: %ld KB resident\n", router.resident_kb());
     const std::uint64_t wakeups = client.counts().wakeups;
     std::this_thread::sleep_for(10s);
--- /dev/null
+++ b/cmake/grpc.cmake
@@ -0,0 +1,40 @@
+# The adaptor for stubs of gRPC C++: it stands on the client library's public face and adds gRPC and protobuf.
+find_package(Protobuf REQUIRED)
+find_package(gRPC CONFIG REQUIRED)
+
+# Sets OUT to what protoc and gRPC's plug-in make of a .proto file under proto/.
+function(streampick_proto out proto)
+  string(REGEX REPLACE "\\.proto$" "" stem ${proto})
+  set(dir ${CMAKE_CURRENT_BINARY_DIR}/proto)
+  set(made ${dir}/${stem}.pb.cc ${dir}/${stem}.pb.h ${dir}/${stem}.grpc.pb.cc ${dir}/${stem}.grpc.pb.h)
+  add_custom_command(OUTPUT ${made}
+    COMMAND ${CMAKE_COMMAND} -E make_directory ${dir}
+    COMMAND protobuf::protoc -I ${CMAKE_CURRENT_SOURCE_DIR}/proto --cpp_out=${dir} --grpc_out=${dir}
+      --plugin=protoc-gen-grpc=$<TARGET_FILE:gRPC::grpc_cpp_plugin> ${proto}
+    DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/proto/${proto} VERBATIM)
+  set(${out} ${made} PARENT_SCOPE)
+endfunction()
+
+# Shared: what it makes of route.proto is registered with protobuf once in a process, whoever links it.
+streampick_proto(streampick_route_sources streampick/route.proto)
+add_library(streampick_grpc SHARED src/grpc/answer.cpp src/grpc/channel.cpp src/grpc/key_template.cpp
+  src/grpc/route_table.cpp src/grpc/routed_call.cpp ${streampick_route_sources})
+add_library(streampick::grpc ALIAS streampick_grpc)
+target_compile_features(streampick_grpc PUBLIC cxx_std_20)
+target_include_directories(streampick_grpc PUBLIC
+  $<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}/include> $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>)
+target_include_directories(streampick_grpc SYSTEM PUBLIC
+  $<BUILD_INTERFACE:${CMAKE_CURRENT_BINARY_DIR}/proto>)
+target_include_directories(streampick_grpc PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
+target_link_libraries(streampick_grpc PUBLIC streampick_client gRPC::grpc++ protobuf::libprotobuf
+  PRIVATE streampick_options)
+target_link_options(streampick_grpc PRIVATE -Wl,--exclude-libs,ALL)
+set_target_properties(streampick_options PROPERTIES POSITION_INDEPENDENT_CODE ON)
+set_target_properties(streampick_grpc PROPERTIES VERSION ${PROJECT_VERSION} SOVERSION 0 EXPORT_NAME grpc)
+set_source_files_properties(${streampick_route_sources} PROPERTIES COMPILE_OPTIONS "-w")
+list(APPEND streampick_parts streampick_grpc)
+
+# The project's own service, for programs that have none: tests, the example, the measurement.
+streampick_proto(streampick_tiles_sources streampick/tiles.proto)
+add_library(streampick_tiles STATIC EXCLUDE_FROM_ALL ${streampick_tiles_sources})
+target_link_libraries(streampick_tiles PUBLIC streampick_grpc)
--- a/include/streampick/client.h
+++ b/include/streampick/client.h
@@ -121,6 +121,8 @@
   // Not to be called from within a callback.
   bool drain(std::chrono::microseconds longest);
   ClientCounts counts() const;
+  // Whether requests of a class are safe, that is reads; nothing: the settings have no class of that name.
+  std::optional<bool> is_safe(std::string_view request_class) const;
 
  private:
   friend class Call;
--- a/src/daemon/options.cpp
+++ b/src/daemon/options.cpp
@@ -14,6 +14,8 @@
   out.file = path;
   options::Table root = options::Table::parse(text, path);
   if (auto table = root.table("overload")) out.overload = overload::read_options(std::move(*table));
+  // Of programs with stubs on a routed channel; one file may serve all of a machine.
+  if (auto grpc = root.table("grpc")) out.grpc = rpc::read_options(std::move(*grpc));
 #ifdef STREAMPICK_WITH_RESP
   if (auto resp = root.table("resp")) out.resp = resp::read_options(std::move(*resp));
 #endif
@@ -30,6 +32,14 @@
 
 void resolve(Options& options, NodeSettings& node) {
   node.overload = options.overload;
+  for (const rpc::Route& route : options.grpc.routes) {
+    const std::uint32_t found = index_of(node.settings.names.classes, route.request_class);
+    if (found == kNone)
+      throw options::Error(options.file + ": grpc.route: the platform has no class " + route.request_class);
+    if ((node.settings.config.classes[found].effect == Effect::safe) == route.save)
+      throw options::Error(options.file + ": grpc.route: " + route.method + ": the class " +
+                           route.request_class + (route.save ? " is for reads" : " is not for reads"));
+  }
   for (const std::string& name : options.overload.spared)
     if (index_of(node.settings.names.classes, name) == kNone)
       throw options::Error(options.file + ": overload.spared: the platform has no class " + name);
@@ -48,6 +58,8 @@
       << "overload: behind from " << limits.late / 1000 << " ms on, cancelled attempts waited for "
       << limits.drain_wait / 1000 << " ms, answers passed on in parts from " << limits.whole_answer
       << " bytes on, up to " << limits.longest_answer << "\n";
+  if (!options.grpc.routes.empty())
+    out << "grpc: " << options.grpc.routes.size() << " routes, for programs on the client library\n";
 #ifdef STREAMPICK_WITH_RESP
   out << resp::describe(options.resp);
 #else
--- a/src/daemon/options.h
+++ b/src/daemon/options.h
@@ -4,6 +4,7 @@
 
 #include <string>
 
+#include "grpc/options.h"
 #include "options/table.h"
 #include "overload/settings.h"
 #include "platform/node_settings.h"
@@ -16,6 +17,7 @@
 struct Options {
   std::string file;
   overload::Settings overload;
+  rpc::Options grpc;  // checked only
 #ifdef STREAMPICK_WITH_RESP
   resp::Options resp;
 #endif
--- a/src/plugin/client.cpp
+++ b/src/plugin/client.cpp
@@ -469,6 +469,12 @@
   return false;
 }
 
+std::optional<bool> Client::is_safe(std::string_view request_class) const {
+  const std::uint32_t found = index_of(impl_->told.settings.names.classes, std::string(request_class));
+  if (found == kNone) return std::nullopt;
+  return impl_->told.settings.config.classes[found].effect == Effect::safe;
+}
+
 ClientCounts Client::counts() const {
   ClientCounts out;
   out.calls = impl_->counts.calls;
--- /dev/null
+++ b/tests/grpc/stubs_test.cpp
@@ -0,0 +1,273 @@
+// Stubs as gRPC's compiler makes them, over a client and stand-in caches.
+#include <grpcpp/generic/generic_stub.h>
+#include <gtest/gtest.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+#include "plugin/fleet.h"
+#include "streampick/grpc.h"
+#include "streampick/tiles.grpc.pb.h"
+
+namespace streampick::test {
+namespace {
+
+using namespace std::chrono_literals;
+using grpc::ClientContext;
+using grpc::StatusCode;
+using tiles::ReadTileRequest;
+using tiles::ReadTileResponse;
+using tiles::Tiles;
+
+ReadTileRequest tile(int n) {
+  ReadTileRequest out;
+  out.set_sheet("N48");
+  out.mutable_tile()->set_x(static_cast<std::uint32_t>(n));
+  return out;
+}
+
+struct GrpcStubs : ::testing::Test {
+  explicit GrpcStubs(rpc::ChannelSettings settings = {.services = {"streampick.tiles.Tiles"}})
+      : channel(rpc::open_channel(client, settings)), stub(Tiles::NewStub(channel)) {}
+
+  grpc::Status read(int n, std::chrono::milliseconds deadline = 5s) {
+    ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + deadline);
+    return stub->ReadTile(&context, tile(n), &response);
+  }
+  static std::string trailing(const ClientContext& context, const char* name) {
+    const auto& all = context.GetServerTrailingMetadata();
+    const auto found = all.find(name);
+    return found == all.end() ? "" : std::string(found->second.data(), found->second.size());
+  }
+
+  StandinFleet fleet;
+  std::shared_ptr<Client> client = std::make_shared<Client>(fleet.settings);
+  std::shared_ptr<grpc::Channel> channel;
+  std::unique_ptr<Tiles::Stub> stub;
+  ReadTileResponse response;
+};
+
+TEST_F(GrpcStubs, AReadAndASaveAreServedByTheFleet) {
+  ASSERT_TRUE(read(1).ok());
+  EXPECT_EQ(response.image(), "tile");
+  ClientContext context;
+  context.AddMetadata("idempotency-key", "k-1");
+  tiles::SaveAnnotationRequest save;
+  save.set_sheet("N48");
+  save.set_annotation("a");
+  save.set_drawing("ink");
+  tiles::SaveAnnotationResponse saved;
+  EXPECT_TRUE(stub->SaveAnnotation(&context, save, &saved).ok());
+  EXPECT_EQ(client->counts().served, 2U);
+}
+
+TEST_F(GrpcStubs, EveryWayToCallEndsOnceAndAlike) {
+  {
+    ClientContext context;
+    grpc::CompletionQueue queue;
+    grpc::Status status;
+    const auto call = stub->AsyncReadTile(&context, tile(1), &queue);
+    call->Finish(&response, &status, this);
+    void* tag = nullptr;
+    bool ok = false;
+    ASSERT_TRUE(queue.Next(&tag, &ok));
+    EXPECT_TRUE(ok && tag == this && status.ok()) << status.error_message();
+  }
+  std::mutex mutex;
+  std::condition_variable ended;
+  int ends = 0;
+  const auto wait_for = [&](int all) {
+    std::unique_lock lock(mutex);
+    return ended.wait_for(lock, 10s, [&] { return ends == all; });
+  };
+  const auto count = [&](const grpc::Status& status) {
+    EXPECT_TRUE(status.ok()) << status.error_message();
+    const std::lock_guard lock(mutex);
+    ++ends;
+    ended.notify_all();
+  };
+  ClientContext by_function;
+  const ReadTileRequest request = tile(2);
+  stub->async()->ReadTile(&by_function, &request, &response, count);
+  ASSERT_TRUE(wait_for(1));
+  struct Reactor final : grpc::ClientUnaryReactor {
+    std::function<void(const grpc::Status&)> done;
+    void OnDone(const grpc::Status& status) override { done(status); }
+  } reactor;
+  reactor.done = count;
+  ClientContext by_reactor;
+  stub->async()->ReadTile(&by_reactor, &request, &response, &reactor);
+  reactor.StartCall();
+  ASSERT_TRUE(wait_for(2));
+  EXPECT_EQ(client->counts().served, 3U);
+}
+
+TEST_F(GrpcStubs, ADeadlineEndsACallInTimeAndOneThatIsOverSendsNothing) {
+  fleet.delay(30s);
+  // The router gives up a little before the deadline: then the caller is told to come back, as by the daemon.
+  const StatusCode code = read(1, 200ms).error_code();
+  EXPECT_TRUE(code == StatusCode::DEADLINE_EXCEEDED || code == StatusCode::UNAVAILABLE) << code;
+  const std::uint64_t calls = client->counts().calls;
+  EXPECT_EQ(read(2, -1ms).error_code(), StatusCode::DEADLINE_EXCEEDED);
+  EXPECT_EQ(client->counts().calls, calls);
+}
+
+TEST_F(GrpcStubs, ACancelledCallIsWithdrawn) {
+  fleet.delay(5s);
+  ClientContext context;
+  std::thread other([&] {
+    while (fleet.requests() == 0) std::this_thread::sleep_for(1ms);
+    context.TryCancel();
+  });
+  EXPECT_EQ(stub->ReadTile(&context, tile(1), &response).error_code(), StatusCode::CANCELLED);
+  other.join();
+  EXPECT_EQ(client->counts().withdrawn, 1U);
+}
+
+TEST_F(GrpcStubs, ARefusalSaysWhenToComeBackAndADrainedClientIsUnavailable) {
+  fleet.on([&] { fleet.servers.clear(); });  // connections are refused
+  ClientContext context;
+  EXPECT_EQ(stub->ReadTile(&context, tile(1), &response).error_code(), StatusCode::UNAVAILABLE);
+  EXPECT_GT(std::atoi(trailing(context, "grpc-retry-pushback-ms").c_str()), 0);
+  client->drain(1s);
+  EXPECT_EQ(read(2).error_code(), StatusCode::UNAVAILABLE);
+  EXPECT_EQ(client->counts().withdrawn, 1U);
+}
+
+TEST_F(GrpcStubs, WhatCanNotBeAKeyOrATenantIsAnInvalidArgument) {
+  ClientContext context;
+  EXPECT_EQ(stub->ReadTile(&context, {}, &response).error_code(), StatusCode::INVALID_ARGUMENT);
+  ClientContext stranger;
+  stranger.AddMetadata("x-org", "nobody");
+  EXPECT_EQ(stub->ReadTile(&stranger, tile(1), &response).error_code(), StatusCode::INVALID_ARGUMENT);
+  EXPECT_EQ(fleet.requests(), 0U);
+}
+
+TEST_F(GrpcStubs, AMethodThatNoRouteNamesIsUnimplemented) {
+  grpc::GenericStub generic(channel);
+  ClientContext context;
+  grpc::CompletionQueue queue;
+  grpc::ByteBuffer request, reply;
+  grpc::Status status;
+  const auto call = generic.PrepareUnaryCall(&context, "/a.B/C", request, &queue);
+  call->StartCall();
+  call->Finish(&reply, &status, this);
+  void* tag = nullptr;
+  bool ok = false;
+  ASSERT_TRUE(queue.Next(&tag, &ok));
+  EXPECT_EQ(status.error_code(), StatusCode::UNIMPLEMENTED);
+}
+
+// Where the value is the whole message, and where it is no such message.
+TEST(GrpcStubsWhole, AValueMayBeTheWholeMessage) {
+  ReadTileResponse kept;
+  kept.set_image(std::string(300, 'x'));
+  for (const bool good : {true, false}) {
+    StandinFleet fleet(2, 0ms, good ? kept.SerializeAsString() : "\x0a\xff");
+    const auto client = std::make_shared<Client>(fleet.settings);
+    const auto stub = Tiles::NewStub(rpc::open_channel(
+        client, {.routes = {{"streampick.tiles.Tiles/ReadTile", "tile-read", false, "{sheet}", ""}}}));
+    ClientContext context;
+    ReadTileResponse response;
+    const grpc::Status status = stub->ReadTile(&context, tile(1), &response);
+    EXPECT_EQ(status.error_code(), good ? StatusCode::OK : StatusCode::INTERNAL);
+    EXPECT_EQ(response.image() == kept.image(), good);
+  }
+}
+
+// A listener where the channel points: only what no route names may ever come there.
+TEST(GrpcStubsTransport, NothingOfARoutedCallReachesGrpcsOwnTransport) {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::acceptor listener(io, {boost::asio::ip::address_v4::loopback(), 0});
+  listener.non_blocking(true);
+  int connections = 0;
+  const auto look = [&] {
+    boost::system::error_code none;
+    boost::asio::ip::tcp::socket socket(io);
+    for (listener.accept(socket, none); !none; listener.accept(socket, none)) {
+      ++connections;
+      socket.close();
+    }
+  };
+  StandinFleet fleet;
+  const auto client = std::make_shared<Client>(fleet.settings);
+  const auto channel = rpc::open_channel(
+      client, {.services = {"streampick.tiles.Tiles"},
+               .others_target = "ipv4:127.0.0.1:" + std::to_string(listener.local_endpoint().port())});
+  const auto stub = Tiles::NewStub(channel);
+  for (int i = 0; i < 50; ++i) {
+    ClientContext context;
+    ReadTileResponse response;
+    // Half of them fail: what failed is not tried by gRPC either.
+    if (i == 25) fleet.on([&] { fleet.servers.clear(); });
+    stub->ReadTile(&context, tile(i), &response);
+  }
+  look();
+  EXPECT_EQ(connections, 0);
+  grpc::GenericStub generic(channel);
+  ClientContext context;
+  context.set_deadline(std::chrono::system_clock::now() + 10s);
+  grpc::CompletionQueue queue;
+  grpc::ByteBuffer request, reply;
+  grpc::Status status;
+  const auto call = generic.PrepareUnaryCall(&context, "/a.B/C", request, &queue);
+  call->StartCall();
+  call->Finish(&reply, &status, this);
+  while (connections == 0) look();
+  context.TryCancel();
+  void* tag = nullptr;
+  bool ok = false;
+  ASSERT_TRUE(queue.Next(&tag, &ok));
+}
+
+// Eight threads, calls that are served, late, cancelled and refused: each ends once, and with the same count
+// on both sides.
+TEST_F(GrpcStubs, AllThatWasCalledEndsOnceWhateverBecomesOfIt) {
+  constexpr int kThreads = 8, kEach = 60;
+  std::array<std::atomic<int>, 17> codes{};
+  std::vector<std::thread> threads;
+  for (int t = 0; t < kThreads; ++t)
+    threads.emplace_back([&, t] {
+      for (int i = 0; i < kEach; ++i) {
+        if (t == 0 && i % 10 == 0) fleet.delay(i % 20 == 0 ? 30ms : 0ms);
+        ClientContext context;
+        context.set_deadline(std::chrono::system_clock::now() + (i % 5 == 0 ? 10ms : 2'000ms));
+        std::thread canceller;
+        if (i % 7 == 0) canceller = std::thread([&] { context.TryCancel(); });
+        ReadTileResponse mine;
+        const grpc::Status status = stub->ReadTile(&context, tile(t * kEach + i), &mine);
+        EXPECT_EQ(mine.image() == "tile", status.ok());
+        ++codes.at(static_cast<std::size_t>(status.error_code()));
+        if (canceller.joinable()) canceller.join();
+      }
+    });
+  for (std::thread& thread : threads) thread.join();
+  int all = 0;
+  for (const auto& code : codes) all += code;
+  EXPECT_EQ(all, kThreads * kEach);
+  const ClientCounts counts = client->counts();
+  EXPECT_EQ(counts.open, 0U);
+  EXPECT_EQ(counts.calls, counts.served + counts.refused + counts.failed + counts.withdrawn + counts.invalid);
+  EXPECT_EQ(counts.served, static_cast<std::uint64_t>(codes[StatusCode::OK]));
+  EXPECT_GT(codes[StatusCode::OK], kThreads * kEach / 3);
+}
+
+TEST(GrpcStubsApart, AChannelWhoseFleetIsDeadDoesNotTouchAnother) {
+  StandinFleet dead, well;
+  dead.on([&] { dead.servers.clear(); });
+  const rpc::ChannelSettings settings{.services = {"streampick.tiles.Tiles"}};
+  const auto a = Tiles::NewStub(rpc::open_channel(std::make_shared<Client>(dead.settings), settings));
+  const auto b = Tiles::NewStub(rpc::open_channel(std::make_shared<Client>(well.settings), settings));
+  for (int i = 0; i < 20; ++i) {
+    ClientContext first, second;
+    ReadTileResponse response;
+    EXPECT_FALSE(a->ReadTile(&first, tile(i), &response).ok());
+    EXPECT_TRUE(b->ReadTile(&second, tile(i), &response).ok());
+  }
+}
+
+}  // namespace
+}  // namespace streampick::test
--- a/tests/plugin/equal_test.cpp
+++ b/tests/plugin/equal_test.cpp
@@ -1,4 +1,4 @@
-// One schedule of calls, through the daemon and through the client, over fleets of the same kind: what
+// One schedule of calls, through the daemon, the client and stubs on it, over fleets of the same kind: what
 // becomes of them must not differ by more than chance makes two runs of either differ.
 #include <gtest/gtest.h>
 
@@ -6,6 +6,10 @@
 
 #include "fleet.h"
 #include "standin/http_client.h"
+#ifdef STREAMPICK_WITH_GRPC
+#include "streampick/grpc.h"
+#include "streampick/tiles.grpc.pb.h"
+#endif
 
 namespace streampick::test {
 namespace {
@@ -82,6 +86,45 @@
   return all;
 }
 
+#ifdef STREAMPICK_WITH_GRPC
+// The same calls by stubs on a routed channel.
+Figures through_stubs(const Scenario& scenario) {
+  StandinFleet fleet(4);
+  set_up(fleet, scenario);
+  const auto client = std::make_shared<Client>(fleet.settings);
+  const auto stub = tiles::Tiles::NewStub(rpc::open_channel(
+      client, {.routes = {{"streampick.tiles.Tiles/ReadTile", "tile-read", false, "{sheet}", "image"},
+                          {"streampick.tiles.Tiles/SaveAnnotation", "annotation-save", true, "{sheet}",
+                           "drawing"}}}));
+  Figures all = all_callers(scenario, [&](int caller) {
+    Figures out;
+    for (int i = caller; i < scenario.calls; i += kCallers) {
+      grpc::ClientContext context;
+      context.set_deadline(std::chrono::system_clock::now() + scenario.deadline);
+      grpc::Status status;
+      if (i % scenario.saves_every == 0) {
+        tiles::SaveAnnotationRequest request;
+        request.set_sheet(key_of(i));
+        request.set_drawing("mark");
+        tiles::SaveAnnotationResponse response;
+        status = stub->SaveAnnotation(&context, request, &response);
+      } else {
+        tiles::ReadTileRequest request;
+        request.set_sheet(key_of(i));
+        tiles::ReadTileResponse response;
+        status = stub->ReadTile(&context, request, &response);
+      }
+      out.count(status.ok()                                            ? Status::served
+                : status.error_code() == grpc::StatusCode::UNAVAILABLE ? Status::refused
+                                                                       : Status::failed);
+    }
+    return out;
+  });
+  all.attempts = fleet.requests();
+  return all;
+}
+#endif
+
 Figures through_daemon(const Scenario& scenario) {
   StandinFleet fleet(4);
   set_up(fleet, scenario);
@@ -119,24 +162,32 @@
 
 class SameAsTheDaemon : public ::testing::TestWithParam<Scenario> {};
 
-TEST_P(SameAsTheDaemon, InWhatBecomesOfItsCalls) {
-  const Scenario& scenario = GetParam();
-  const Figures client = through_client(scenario), daemon = through_daemon(scenario);
+void expect_alike(const Figures& one, const Figures& daemon, const Scenario& scenario) {
   // Two runs of one binomial of these sizes differ by more than this once in some thousands.
   const int bound = 4 + scenario.calls / 5;
-  EXPECT_NEAR(client.served, daemon.served, bound);
-  EXPECT_NEAR(client.refused, daemon.refused, bound);
-  EXPECT_NEAR(client.failed, daemon.failed, bound);
-  EXPECT_NEAR(static_cast<double>(client.attempts), static_cast<double>(daemon.attempts),
+  EXPECT_NEAR(one.served, daemon.served, bound);
+  EXPECT_NEAR(one.refused, daemon.refused, bound);
+  EXPECT_NEAR(one.failed, daemon.failed, bound);
+  EXPECT_NEAR(static_cast<double>(one.attempts), static_cast<double>(daemon.attempts),
               0.25 * static_cast<double>(daemon.attempts) + 10);
 }
 
+TEST_P(SameAsTheDaemon, InWhatBecomesOfItsCalls) {
+  const Figures daemon = through_daemon(GetParam());
+  expect_alike(through_client(GetParam()), daemon, GetParam());
+#ifdef STREAMPICK_WITH_GRPC
+  expect_alike(through_stubs(GetParam()), daemon, GetParam());
+#endif
+}
+
 // Where nothing hangs on timing the counts are equal.
 TEST(SameAsTheDaemonExactly, InACalmHour) {
   const Scenario calm{.name = "calm", .calls = 320};
-  const Figures client = through_client(calm), daemon = through_daemon(calm);
-  EXPECT_EQ(client.served, 320);
-  EXPECT_EQ(daemon.served, 320);
+  EXPECT_EQ(through_client(calm).served, 320);
+  EXPECT_EQ(through_daemon(calm).served, 320);
+#ifdef STREAMPICK_WITH_GRPC
+  EXPECT_EQ(through_stubs(calm).served, 320);
+#endif
 }
 
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/resp/options_test.cpp
+++ b/tests/resp/options_test.cpp
@@ -57,7 +57,9 @@
        "o.toml:3: overload.servers_floor: with clients_floor it is more than the whole"},
       {"[overload]\ncrowded_idle_ms = 20000\n",
        "o.toml:2: overload.crowded_idle_ms: it is longer than calm_idle_ms"},
-      {"[grpc]\n", "o.toml:1: grpc: there is no such key"},
+      {"[gossip]\n", "o.toml:1: gossip: there is no such key"},
+      {"[[grpc.route]]\nmethod = \"a.B/C\"\nread = \"pay\"\nkey = \"{k}\"\n",
+       "o.toml: grpc.route: a.B/C: the class pay is not for reads"},
   };
   for (const auto& [toml, error] : cases) EXPECT_EQ(error_of(toml), error) << toml;
   EXPECT_EQ(error_of("[resp.front\n").rfind("o.toml:1: ", 0), 0U);
@@ -93,6 +95,8 @@
   EXPECT_EQ(run(router + "--check --options " STREAMPICK_SOURCE "/deploy/examples/overload.toml", out), 0)
       << out;
   EXPECT_NE(out.find("overload: floors 0.4 and 0.3"), std::string::npos) << out;
+  EXPECT_EQ(run(router + "--check --options " STREAMPICK_SOURCE "/deploy/examples/grpc.toml", out), 0) << out;
+  EXPECT_NE(out.find("grpc: 2 routes"), std::string::npos) << out;
   EXPECT_EQ(run(router + "--check", out), 0);
   EXPECT_NE(out.find("resp.front: off"), std::string::npos);
 }
