Reads keep half of the origin's places beside writes: a flushed fleet fills again

Writes and reads stood in one line at the origin, writes first: one that found no room held up the read behind it. With those who come back more is written than the origin can do, so no read filled a cache again, so the refused came back. Change: a line each, and reads have half of the places however many writes there are.

--- a/src/policy/origin.h
+++ b/src/policy/origin.h
@@ -10,6 +10,7 @@
 
 inline constexpr double kOriginStart = 4;    // first limit on origin reads out: for each server, shared
 inline constexpr double kOriginLeast = 0.1;  // ... and the least one
+inline constexpr double kOriginReads = 0.5;  // ... and the part of it that reads have beside writes
 inline constexpr double kOriginMost = 64, kOriginFirstMost = 4;
 inline constexpr double kOriginSlowPerAim = 0.33;  // an origin answer slower than this share of the aim
 inline constexpr double kOriginStuck = 3, kOriginLost = 4;  // times its usual: stuck; to be asked again ...
@@ -31,39 +32,38 @@
       }
     }
     open.origin = OriginUse::waiting;
-    if (open.request.write) {
-      origin_line_.emplace_front(slot, open.generation);
-    } else {
-      origin_line_.emplace_back(slot, open.generation);
-    }
+    const std::pair place(slot, open.generation);
+    open.request.write ? origin_write_line_.push_front(place) : origin_line_.push_back(place);
     drain_origin_line();
   }
 
   void drain_origin_line() {
     const bool usable =
         origin_ != kNone && servers_[origin_].listed && servers_[origin_].member.phase == Phase::ready;
-    while (!origin_line_.empty()) {
-      const auto [slot, generation] = origin_line_.front();
-      Open& open = open_[slot];
-      const bool stale = open.generation != generation || open.over || open.origin != OriginUse::waiting;
-      const bool write = open.request.write;
-      // A line that moves too slowly: what has missed its aim makes room for what can still be met.
-      const bool missed = !stale && !write && open.live == 0 &&
-                          now_ + static_cast<Time>(origin_now_) > open.arrived + class_of(open).aim &&
-                          static_cast<double>(origin_line_.size()) > origin_limit_.value;
-      // One read always moves beside the writes.
-      const int reads = origin_in_flight_ - origin_writes_;
-      const bool room = write ? origin_writes_ < origin_limit_.value + 1
-                              : origin_limit_.room(reads == 0 ? 0 : origin_in_flight_, now_);
-      if (!stale && !missed && (!usable || !room)) return;
-      origin_line_.pop_front();
-      if (stale) continue;
-      if (missed || open.sent >= max_attempts_) {
-        give_up(slot);
-        continue;
+    for (const bool write : {true, false}) {
+      auto& line = write ? origin_write_line_ : origin_line_;
+      while (!line.empty()) {
+        const auto [slot, generation] = line.front();
+        Open& open = open_[slot];
+        const bool stale = open.generation != generation || open.over || open.origin != OriginUse::waiting;
+        // A line that moves too slowly: what has missed its aim makes room for what can still be met.
+        const bool missed = !stale && !write && open.live == 0 &&
+                            now_ + static_cast<Time>(origin_now_) > open.arrived + class_of(open).aim &&
+                            static_cast<double>(line.size()) > origin_limit_.value;
+        // Reads have a part of the places however many writes there are: without them no cache fills again.
+        const double reads = origin_in_flight_ - origin_writes_, limit = origin_limit_.value;
+        const double taken = reads < std::max(1.0, kOriginReads * limit) ? 0 : origin_in_flight_;
+        const bool room = write ? origin_writes_ < limit + 1 : origin_limit_.room(taken, now_);
+        if (!stale && !missed && (!usable || !room)) break;
+        line.pop_front();
+        if (stale) continue;
+        if (missed || open.sent >= max_attempts_) {
+          give_up(slot);
+          continue;
+        }
+        open.origin = OriginUse::out;
+        send(slot, origin_);
       }
-      open.origin = OriginUse::out;
-      send(slot, origin_);
     }
   }
 
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -206,7 +206,7 @@
   Limit origin_limit_;
   double origin_now_ = 0, origin_base_ = 0;  // usual time of an answer: lately, at its best
   int origin_in_flight_ = 0, origin_writes_ = 0;
-  std::deque<std::pair<std::uint32_t, std::uint32_t>> origin_line_;
+  std::deque<std::pair<std::uint32_t, std::uint32_t>> origin_line_, origin_write_line_;  // reads; writes
   std::unordered_map<std::uint64_t, std::uint32_t> fetching_;  // key to the slot that reads it
 
   struct TenantState {
