The client library speaks RESP to servers, by the daemon's options file

Need: a program on the client library could reach HTTP caches only, and took no options file, where the daemon does both. Change: ClientSettings::options and options_path. Which transport a server gets is decided in one place for daemon and client (platform/transports); the options file's join moves from daemon/ to platform/. A key is the message's own and escaped only where it stands in a path: a RESP server was asked for the escaped name. A RESP null is absent to a caller.

--- a/include/streampick/client.h
+++ b/include/streampick/client.h
@@ -62,6 +62,9 @@
 struct ClientSettings {
   std::string config = {};       // the platform's configuration: JSON text
   std::string config_path = {};  // ... or a file with it, read at once
+  // The operator's options file, where the library was built with options: its text, or its path. Its servers
+  // that speak RESP are spoken to so; what is the daemon's alone ([resp.front]) is checked and left.
+  std::string options = {}, options_path = {};
   std::string read_class = {},
               save_class = {};  // defaults; empty: the first safe class, and the first that is not
   // Threads that callbacks run on. 0: on the client's own thread, which then carries nothing while one runs.
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "http1/transport.h"
 #include "net/log.h"
 
 namespace streampick::node {
@@ -16,32 +15,21 @@
 
 Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings)
     : io_(io), clock_(clock), names_(settings.settings.names), summary_timer_(io) {
+  transports_ = std::make_unique<ServerTransports>(io_, clock_, links_, settings);
   begin(settings);
 }
 
 #ifdef STREAMPICK_WITH_OPTIONS
-Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings,
-           [[maybe_unused]] const Options& options)
+Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings, const Options& options)
     : io_(io), clock_(clock), names_(settings.settings.names), summary_timer_(io) {
-#ifdef STREAMPICK_WITH_RESP
-  resp_servers_ = options.resp.servers;
-  const Config& config = settings.settings.config;
-  if (config.aside) origin_kind_ = config.origin_kind;
   NodeSettings own = settings;
-  if (resp::repeats_run_twice(options.resp, settings.settings)) {
-    log("keyed classes count as unsafe: the servers that take writes are not told keys "
-        "(resp.servers.send_ids)");
-    for (RequestClass& kind : own.settings.config.classes)
-      if (kind.effect == Effect::keyed) kind.effect = Effect::unsafe;
-  }
-  const auto& front = options.resp.front;
+  transports_ = std::make_unique<ServerTransports>(io_, clock_, links_, own, options);
   begin(own);
-  if (!front) return;
-  resp_ = std::make_unique<resp::RespFront>(io_, clock_, names_, *engine_, front->settings, &descriptors_,
-                                            admission_.get());
+#ifdef STREAMPICK_WITH_RESP
+  if (!options.resp.front) return;
+  resp_ = std::make_unique<resp::RespFront>(io_, clock_, names_, *engine_, options.resp.front->settings,
+                                            &descriptors_, admission_.get());
   engine_->add(*resp_);
-#else
-  begin(settings);
 #endif
 }
 #endif
@@ -60,9 +48,9 @@
     if (http_ && descriptors_.borrows(overload::Descriptors::Side::clients)) http_->give_one_back();
   };
   const Settings& told = settings.settings;
-  engine_ =
-      std::make_unique<Engine>(clock_, EngineSettings{told.config, told.seed, told.drain_grace},
-                               static_cast<Transports&>(*this), [](std::string_view text) { log(text); });
+  engine_ = std::make_unique<Engine>(clock_, EngineSettings{told.config, told.seed, told.drain_grace},
+                                     *transports_, [](std::string_view text) { log(text); });
+  transports_->report_to(*engine_);
   const bool must_ask = told.config.must_ask;
   discovery_ = std::make_unique<Discovery>(io_, names_, settings.discovery, settings.known.revision,
                                            !must_ask, told.seed, *engine_);
@@ -90,17 +78,6 @@
   engine_.reset();
 }
 
-std::unique_ptr<Transport> Host::make(const std::string& name, [[maybe_unused]] std::uint32_t kind) {
-#ifdef STREAMPICK_WITH_RESP
-  if (resp_servers_ && resp_servers_->speak(names_.kinds, kind)) {
-    const bool holds_copies = origin_kind_ != kNone && kind != origin_kind_;
-    return std::make_unique<resp::RespTransport>(io_, clock_, links_, *engine_, resp_servers_->settings,
-                                                 resp_counts_, name, holds_copies);
-  }
-#endif
-  return std::make_unique<Upstream>(io_, clock_, links_, *engine_, name);
-}
-
 void Host::reload(const NodeSettings& settings) {
   log("configuration read again");
   discovery_->move_to(settings.discovery);
@@ -116,9 +93,8 @@
          " behind=" + std::to_string(admission_->pressure().windows_behind());
 #ifdef STREAMPICK_WITH_RESP
   if (resp_) out += " resp: " + resp_->summary();
-  if (resp_servers_) out += " resp servers: " + resp_counts_.summary();
 #endif
-  return out;
+  return out + transports_->summary();
 }
 
 void Host::every_ten_seconds() {
--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -14,14 +14,15 @@
 #include "net/clock.h"
 #include "net/links.h"
 #include "platform/node_settings.h"
+#include "platform/transports.h"
 #include "roster/discovery.h"
 #ifdef STREAMPICK_WITH_OPTIONS
-#include "daemon/options.h"
+#include "platform/options.h"
 #endif
 
 namespace streampick::node {
 
-class Host final : private Transports {
+class Host final {
  public:
   // Throws boost::system::system_error when an address can't be listened on.
   Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings);
@@ -31,9 +32,9 @@
 #endif
 #ifdef STREAMPICK_WITH_RESP
   const resp::RespFront* resp() const { return resp_.get(); }
-  const resp::ServerCounts& resp_servers() const { return resp_counts_; }
+  const resp::ServerCounts& resp_servers() const { return transports_->resp(); }
 #endif
-  ~Host() override;
+  ~Host();
 
   // Goes on accepting for a little, finishes what was taken, then calls `done`.
   void drain(std::function<void()> done) { engine_->drain(std::move(done)); }
@@ -48,7 +49,6 @@
   std::string summary() const;
 
  private:
-  std::unique_ptr<Transport> make(const std::string& name, std::uint32_t kind) override;
   void begin(const NodeSettings& settings);
   void every_ten_seconds();
 
@@ -57,14 +57,12 @@
   Names names_;
   overload::Descriptors descriptors_;
   Links links_;
+  std::unique_ptr<ServerTransports> transports_;  // the engine has it
   std::unique_ptr<Engine> engine_;
   std::unique_ptr<Discovery> discovery_;
   std::unique_ptr<Admission> admission_;
   std::unique_ptr<Clients> http_;
 #ifdef STREAMPICK_WITH_RESP
-  std::optional<resp::ServerOptions> resp_servers_;
-  std::uint32_t origin_kind_ = kNone;
-  resp::ServerCounts resp_counts_;
   std::unique_ptr<resp::RespFront> resp_;
 #endif
   boost::asio::steady_timer summary_timer_;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -15,7 +15,7 @@
 #ifdef STREAMPICK_WITH_OPTIONS
 #include <CLI/CLI.hpp>
 
-#include "daemon/options.h"
+#include "platform/options.h"
 #endif
 
 namespace {
--- a/src/platform/options.cpp
+++ b/src/platform/options.cpp
@@ -1,4 +1,4 @@
-#include "daemon/options.h"
+#include "platform/options.h"
 
 #include <fstream>
 #include <iterator>
--- /dev/null
+++ b/src/platform/transports.cpp
@@ -0,0 +1,50 @@
+#include "platform/transports.h"
+
+#include "http1/transport.h"
+#include "net/log.h"
+
+namespace streampick::node {
+
+ServerTransports::ServerTransports(boost::asio::io_context& io, TimeSource& time, Links& links,
+                                   [[maybe_unused]] const NodeSettings& settings)
+    : io_(io), time_(time), links_(links) {}
+
+#ifdef STREAMPICK_WITH_OPTIONS
+ServerTransports::ServerTransports(boost::asio::io_context& io, TimeSource& time, Links& links,
+                                   [[maybe_unused]] NodeSettings& settings,
+                                   [[maybe_unused]] const Options& options)
+    : io_(io), time_(time), links_(links) {
+#ifdef STREAMPICK_WITH_RESP
+  resp_ = options.resp.servers;
+  kinds_ = settings.settings.names.kinds;
+  Config& config = settings.settings.config;
+  if (config.aside) origin_kind_ = config.origin_kind;
+  if (!resp::repeats_run_twice(options.resp, settings.settings)) return;
+  log("keyed classes count as unsafe: the servers that take writes are not told keys "
+      "(resp.servers.send_ids)");
+  for (RequestClass& kind : config.classes)
+    if (kind.effect == Effect::keyed) kind.effect = Effect::unsafe;
+#endif
+}
+#endif
+
+std::unique_ptr<Transport> ServerTransports::make(const std::string& name,
+                                                  [[maybe_unused]] std::uint32_t kind) {
+#ifdef STREAMPICK_WITH_RESP
+  if (resp_ && resp_->speak(kinds_, kind)) {
+    const bool holds_copies = origin_kind_ != kNone && kind != origin_kind_;
+    return std::make_unique<resp::RespTransport>(io_, time_, links_, *outcomes_, resp_->settings,
+                                                 resp_counts_, name, holds_copies);
+  }
+#endif
+  return std::make_unique<Upstream>(io_, time_, links_, *outcomes_, name);
+}
+
+std::string ServerTransports::summary() const {
+#ifdef STREAMPICK_WITH_RESP
+  if (resp_) return " resp servers: " + resp_counts_.summary();
+#endif
+  return {};
+}
+
+}  // namespace streampick::node
--- /dev/null
+++ b/src/platform/transports.h
@@ -0,0 +1,48 @@
+// The transports to servers that the settings ask for: the same choice for the daemon and the client library.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+
+#include "engine/time.h"
+#include "engine/transport.h"
+#include "net/links.h"
+#include "platform/node_settings.h"
+#ifdef STREAMPICK_WITH_OPTIONS
+#include "platform/options.h"
+#endif
+
+namespace streampick::node {
+
+class ServerTransports final : public Transports {
+ public:
+  // All but the settings outlive it. report_to() comes before the first make().
+  ServerTransports(boost::asio::io_context& io, TimeSource& time, Links& links, const NodeSettings& settings);
+#ifdef STREAMPICK_WITH_OPTIONS
+  // `options` are resolved. Classes whose repeats would run twice at the servers that take them count as
+  // unsafe in `settings` from then on.
+  ServerTransports(boost::asio::io_context& io, TimeSource& time, Links& links, NodeSettings& settings,
+                   const Options& options);
+#endif
+  void report_to(Outcomes& outcomes) { outcomes_ = &outcomes; }
+  std::unique_ptr<Transport> make(const std::string& name, std::uint32_t kind) override;
+  std::string summary() const;  // for the log; empty where there is nothing to say
+#ifdef STREAMPICK_WITH_RESP
+  const resp::ServerCounts& resp() const { return resp_counts_; }
+#endif
+
+ private:
+  boost::asio::io_context& io_;
+  TimeSource& time_;
+  Links& links_;
+  Outcomes* outcomes_ = nullptr;
+#ifdef STREAMPICK_WITH_RESP
+  std::vector<std::string> kinds_;
+  std::optional<resp::ServerOptions> resp_;
+  std::uint32_t origin_kind_ = kNone;
+  resp::ServerCounts resp_counts_;
+#endif
+};
+
+}  // namespace streampick::node
--- a/src/plugin/client.cpp
+++ b/src/plugin/client.cpp
@@ -19,10 +19,10 @@
 
 #include "engine/engine.h"
 #include "engine/keys.h"
-#include "http1/transport.h"
 #include "net/links.h"
 #include "net/log.h"
 #include "platform/node_settings.h"
+#include "platform/transports.h"
 #include "plugin/callbacks.h"
 #include "plugin/held_transport.h"
 #include "plugin/host_clock.h"
@@ -94,6 +94,7 @@
     std::random_device device;
     last_id = (static_cast<std::uint64_t>(device()) << 32U) ^ device() ^ told.settings.seed;
     const std::uint64_t seed = XXH3_64bits(&last_id, sizeof last_id);
+    servers = make_servers(settings);
     descriptors = overload::Descriptors(overload::Descriptors::Limits{node::descriptor_limits(told).total, 0,
                                                                       node::descriptor_limits(told).total});
     links.descriptors = &descriptors;
@@ -105,6 +106,7 @@
     engine_settings.rests = [this] { return links.connections == 0; };
     engine.emplace(clock, engine_settings, static_cast<node::Transports&>(*this),
                    [](std::string_view text) { node::log(text); });
+    servers->report_to(*engine);
     const bool must_ask = told.settings.config.must_ask;
     discovery.emplace(io, told.settings.names, told.discovery, told.known.revision, !must_ask, seed,
                       static_cast<node::ListReader&>(*this));
@@ -120,6 +122,23 @@
     thread_id = thread.get_id();
   }
 
+  std::unique_ptr<node::ServerTransports> make_servers(const ClientSettings& settings) {
+    if (settings.options.empty() && settings.options_path.empty())
+      return std::make_unique<node::ServerTransports>(io, clock, links, told);
+#ifdef STREAMPICK_WITH_OPTIONS
+    try {
+      node::Options options = settings.options.empty() ? node::load_options(settings.options_path)
+                                                       : node::parse_options(settings.options, "options");
+      node::resolve(options, told);
+      return std::make_unique<node::ServerTransports>(io, clock, links, told, options);
+    } catch (const options::Error& error) {
+      throw ClientError(std::string("streampick client: ") + error.what());
+    }
+#else
+    throw ClientError("streampick client: options: this library was built without STREAMPICK_OPTIONS");
+#endif
+  }
+
   // ---- The I/O thread
 
   void run() {
@@ -168,8 +187,8 @@
     for (plugin::HeldTransport* transport : transports) transport->release();
   }
 
-  std::unique_ptr<node::Transport> make(const std::string& name, std::uint32_t) override {
-    auto inner = std::make_unique<node::Upstream>(io, clock, links, *engine, name);
+  std::unique_ptr<node::Transport> make(const std::string& name, std::uint32_t kind) override {
+    auto inner = servers->make(name, kind);
     auto held = std::make_unique<plugin::HeldTransport>(std::move(inner), [this] { return may_send(); });
     plugin::HeldTransport* const raw = held.get();
     transports.push_back(raw);
@@ -205,7 +224,7 @@
     incoming.request_class = request_class;
     incoming.tenant = tenant;
     incoming.has_key = true;
-    incoming.key = node::key_number(message->key);
+    incoming.key = node::key_number(node::escape_key(message->key));
     incoming.remaining = left;
     incoming.tag = call->number;
     ++last_id;
@@ -280,6 +299,7 @@
   overload::Descriptors descriptors;
   node::Links links;
   std::vector<plugin::HeldTransport*> transports;
+  std::unique_ptr<node::ServerTransports> servers;  // the engine has its transports
   std::optional<node::Engine> engine;
   std::optional<node::Discovery> discovery;
   std::optional<asio::steady_timer> hold_over;
@@ -319,6 +339,11 @@
     case node::Reply::Kind::failed: result.status = Status::failed; break;
   }
   result.late = reply.late;
+  // A RESP server's null is an answer there; a caller asked for a value.
+  if (result.status == Status::served && !save && reply.answer.form == node::Answer::Form::nothing) {
+    result.status = Status::failed;
+    result.absent = true;
+  }
   // Whatever the loop thinks the time is: what comes when the caller has given up is not in time.
   if (result.status == Status::served && client->clock.real_now() > deadline) {
     result.status = Status::failed;
@@ -411,8 +436,8 @@
   call->deadline = impl_->clock.real_now() + longest;
   const auto message = std::make_shared<node::Message>();
   message->operation = save ? node::Operation::write : node::Operation::read;
-  message->key = node::escape_key(key);
-  message->target = "/" + names.classes[kind] + "/" + message->key;
+  message->key = key;
+  message->target = "/" + names.classes[kind] + "/" + node::escape_key(key);
   message->body = std::move(value);
   message->idempotency_key = options.idempotency_key;
   message->content_type = options.content_type;
--- a/tests/resp/resp_loopback.h
+++ b/tests/resp/resp_loopback.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
-#include "daemon/options.h"
 #include "loopback.h"
+#include "platform/options.h"
 #include "resp/decode.h"
 #include "resp/encode.h"
 #include "resp/print.h"
