A stub's call that is cancelled before it begins sends nothing; the client's log is the host's

Cause: read once more: a call whose context was cancelled before it began went to the client and was withdrawn there, so that an attempt could go out for a request that was over. And what the client says while it is made, of RESP servers that are told no keys, went to the process's standard error. Change: such a call ends as CANCELLED without the client; the log's sink is set while the transports are chosen. The daemon's sources are unchanged.

--- a/include/streampick/grpc.h
+++ b/include/streampick/grpc.h
@@ -8,8 +8,9 @@
 //   TryCancel()                       Call::cancel()
 //   metadata named in the settings    tenant, idempotency key
 //   Status::served                    OK
-//   Status::refused                   UNAVAILABLE; trailing metadata grpc-retry-pushback-ms says when to
-//   return Status::failed, late              DEADLINE_EXCEEDED Status::failed, absent            NOT_FOUND
+//   Status::refused                   UNAVAILABLE, with grpc-retry-pushback-ms in the trailing metadata
+//   Status::failed, late              DEADLINE_EXCEEDED
+//   Status::failed, absent            NOT_FOUND
 //   Status::failed                    UNKNOWN
 //   Status::withdrawn                 CANCELLED, or UNAVAILABLE where the client was drained or ended
 //   Status::invalid                   INVALID_ARGUMENT
@@ -38,7 +39,7 @@
   std::string tenant_metadata = "x-org", idempotency_metadata = "idempotency-key";
   // The table [grpc] of an options file: its routes and names come before what is said here.
   std::string options_path = {};
-  // Where calls go that no route names, streaming ones too; null: they end as UNIMPLEMENTED.
+  // Where calls go that no route names, streaming ones too; empty: they end as UNIMPLEMENTED.
   std::string others_target = {};
   std::shared_ptr<grpc::ChannelCredentials> others_credentials = {};
 };
--- a/src/grpc/routed_call.cpp
+++ b/src/grpc/routed_call.cpp
@@ -74,6 +74,10 @@
     }
     batch->Proceed();
   }
+  bool given_up() {
+    const std::lock_guard lock(mutex);
+    return cancelled;
+  }
   void cancel() {
     std::unique_lock lock(mutex);
     if (answer) return;
@@ -116,6 +120,7 @@
   const auto fail = [&](grpc::StatusCode code, const std::string& why) {
     state_->answered({{code, why}, {}, {}}, &route_);
   };
+  if (state_->given_up()) return fail(grpc::StatusCode::CANCELLED, "cancelled before it began");
   const std::string serialized = message == nullptr ? std::string{} : bytes_of(*message);
   const std::unique_ptr<google::protobuf::Message> request(route_.request_type().New());
   if (!request->ParseFromString(serialized))
@@ -133,11 +138,7 @@
   options_.request_class = route_.request_class();
   // The route outlives the channel's calls, and the state this object.
   const auto ended = [state = state_, route = &route_, deadline = context_->deadline()](Result result) {
-    bool cancelled = false;
-    {
-      const std::lock_guard lock(state->mutex);
-      cancelled = state->cancelled;
-    }
+    const bool cancelled = state->given_up();
     const bool over = std::chrono::system_clock::now() >= deadline;
     state->answered(answer_of(std::move(result), cancelled, over), route);
   };
--- a/src/plugin/client.cpp
+++ b/src/plugin/client.cpp
@@ -125,6 +125,10 @@
   std::unique_ptr<node::ServerTransports> make_servers(const ClientSettings& settings) {
     if (settings.options.empty() && settings.options_path.empty())
       return std::make_unique<node::ServerTransports>(io, clock, links, told);
+    // On the host's own thread, whose log is not ours.
+    const node::LogSink sink([this](std::string_view text) {
+      if (own.log) own.log(text);
+    });
 #ifdef STREAMPICK_WITH_OPTIONS
     try {
       node::Options options = settings.options.empty() ? node::load_options(settings.options_path)
--- a/tests/grpc/stubs_test.cpp
+++ b/tests/grpc/stubs_test.cpp
@@ -28,6 +28,23 @@
   return out;
 }
 
+// A call of a method that no route names; `meanwhile` runs when it is on its way.
+grpc::Status unrouted(const std::shared_ptr<grpc::Channel>& channel, ClientContext& context,
+                      const std::function<void()>& meanwhile) {
+  grpc::GenericStub generic(channel);
+  grpc::CompletionQueue queue;
+  grpc::ByteBuffer request, reply;
+  grpc::Status status;
+  const auto call = generic.PrepareUnaryCall(&context, "/a.B/C", request, &queue);
+  call->StartCall();
+  call->Finish(&reply, &status, &status);
+  meanwhile();
+  void* tag = nullptr;
+  bool ok = false;
+  EXPECT_TRUE(queue.Next(&tag, &ok));
+  return status;
+}
+
 struct GrpcStubs : ::testing::Test {
   explicit GrpcStubs(rpc::ChannelSettings settings = {.services = {"streampick.tiles.Tiles"}})
       : channel(rpc::open_channel(client, settings)), stub(Tiles::NewStub(channel)) {}
@@ -127,6 +144,13 @@
   EXPECT_EQ(client->counts().withdrawn, 1U);
 }
 
+TEST_F(GrpcStubs, WhatIsCancelledBeforeItBeginsSendsNothing) {
+  ClientContext context;
+  context.TryCancel();
+  EXPECT_EQ(stub->ReadTile(&context, tile(1), &response).error_code(), StatusCode::CANCELLED);
+  EXPECT_EQ(client->counts().calls, 0U);
+}
+
 TEST_F(GrpcStubs, ARefusalSaysWhenToComeBackAndADrainedClientIsUnavailable) {
   fleet.on([&] { fleet.servers.clear(); });  // connections are refused
   ClientContext context;
@@ -147,17 +171,8 @@
 }
 
 TEST_F(GrpcStubs, AMethodThatNoRouteNamesIsUnimplemented) {
-  grpc::GenericStub generic(channel);
   ClientContext context;
-  grpc::CompletionQueue queue;
-  grpc::ByteBuffer request, reply;
-  grpc::Status status;
-  const auto call = generic.PrepareUnaryCall(&context, "/a.B/C", request, &queue);
-  call->StartCall();
-  call->Finish(&reply, &status, this);
-  void* tag = nullptr;
-  bool ok = false;
-  ASSERT_TRUE(queue.Next(&tag, &ok));
+  const grpc::Status status = unrouted(channel, context, [] {});
   EXPECT_EQ(status.error_code(), StatusCode::UNIMPLEMENTED);
 }
 
@@ -207,20 +222,12 @@
   }
   look();
   EXPECT_EQ(connections, 0);
-  grpc::GenericStub generic(channel);
   ClientContext context;
   context.set_deadline(std::chrono::system_clock::now() + 10s);
-  grpc::CompletionQueue queue;
-  grpc::ByteBuffer request, reply;
-  grpc::Status status;
-  const auto call = generic.PrepareUnaryCall(&context, "/a.B/C", request, &queue);
-  call->StartCall();
-  call->Finish(&reply, &status, this);
-  while (connections == 0) look();
-  context.TryCancel();
-  void* tag = nullptr;
-  bool ok = false;
-  ASSERT_TRUE(queue.Next(&tag, &ok));
+  unrouted(channel, context, [&] {
+    while (connections == 0) look();
+    context.TryCancel();
+  });
 }
 
 // Eight threads, calls that are served, late, cancelled and refused: each ends once, and with the same count
--- a/tests/plugin/resp_servers_test.cpp
+++ b/tests/plugin/resp_servers_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <future>
 #include <memory>
+#include <mutex>
 #include <thread>
 
 #include "standin/platform.h"
@@ -84,6 +85,20 @@
   for (const auto& [what, times] : executions) EXPECT_EQ(times, 1U) << what;
 }
 
+// What is said while the client is made is said to the host, and not on its standard error.
+TEST_F(RespServers, ThatAreToldNoKeysAreSpokenOfInTheHostsLog) {
+  std::mutex mutex;  // the client's own thread may speak too
+  std::string said;
+  settings.options = "[resp.servers]\nsend_ids = false\n";
+  settings.log = [&](std::string_view text) {
+    const std::lock_guard lock(mutex);
+    said += text;
+  };
+  const Client client(settings);
+  const std::lock_guard lock(mutex);
+  EXPECT_NE(said.find("keyed classes count as unsafe"), std::string::npos) << said;
+}
+
 TEST_F(RespServers, AMistakeInTheOptionsIsToldInOneLine) {
   settings.options = "[resp.servers]\nconnection = 4\n";
   try {
