An absent key is an answer of its own in the client library: Status::absent

Status::absent (C: STREAMPICK_ABSENT, gRPC: NOT_FOUND), counted apart, with a reason; the flag 'absent' stays beside it for a time. A null that comes after the caller has given up is late, as any other answer.

--- a/examples/viewer/viewer.cpp
+++ b/examples/viewer/viewer.cpp
@@ -74,7 +74,9 @@
       return ask(i);
     }
     if (result.status != Status::served)
-      tile.missing = result.absent ? "no such tile" : result.late ? "too late" : "no answer";
+      tile.missing = result.status == streampick::Status::absent ? "no such tile"
+                     : result.late                               ? "too late"
+                                                                 : "no answer";
     if (result.status == Status::served) {
       bytes_ += result.value.size();
       if (!folder_.empty()) std::ofstream(folder_ / (tile.key + ".tile"), std::ios::binary) << result.value;
--- a/include/streampick/client.h
+++ b/include/streampick/client.h
@@ -39,13 +39,14 @@
   failed,     // no answer in time, or none that could be used; see `may_have_run`
   withdrawn,  // by cancel(), by the client's drain or its end
   invalid,    // the call could never be sent: `reason` says why. Nothing ran
+  absent,     // there is no such key: an answer, and no failure. Asking again changes nothing
 };
 
 struct Result {
   Status status = Status::failed;
   std::string value = {}, content_type = {};
   bool late = false;                         // failed because its time was up
-  bool absent = false;                       // not served because there is no such key
+  bool absent = false;                       // the same as Status::absent; kept for a time
   bool may_have_run = false;                 // some server may have carried it out
   std::chrono::microseconds retry_after{0};  // of a refusal; 0: no advice
   std::string reason = {};
@@ -76,7 +77,7 @@
 };
 
 struct ClientCounts {
-  std::uint64_t calls = 0, served = 0, refused = 0, failed = 0, withdrawn = 0, invalid = 0;
+  std::uint64_t calls = 0, served = 0, refused = 0, failed = 0, withdrawn = 0, invalid = 0, absent = 0;
   std::uint64_t attempts = 0, cancels = 0, dials = 0, threw = 0, pauses = 0, wakeups = 0;
   std::size_t open = 0, connections = 0, servers = 0;
 };
--- a/include/streampick/grpc.h
+++ b/include/streampick/grpc.h
@@ -10,7 +10,7 @@
 //   Status::served                    OK
 //   Status::refused                   UNAVAILABLE, with grpc-retry-pushback-ms in the trailing metadata
 //   Status::failed, late              DEADLINE_EXCEEDED
-//   Status::failed, absent            NOT_FOUND
+//   Status::absent                    NOT_FOUND
 //   Status::failed                    UNKNOWN
 //   Status::withdrawn                 CANCELLED, or UNAVAILABLE where the client was drained or ended
 //   Status::invalid                   INVALID_ARGUMENT
--- a/include/streampick/streampick.h
+++ b/include/streampick/streampick.h
@@ -25,7 +25,8 @@
   STREAMPICK_REFUSED = 1,
   STREAMPICK_FAILED = 2,
   STREAMPICK_WITHDRAWN = 3,
-  STREAMPICK_INVALID = 4
+  STREAMPICK_INVALID = 4,
+  STREAMPICK_ABSENT = 5
 } streampick_status;
 
 /* Valid only within the callback. */
--- a/src/grpc/answer.cpp
+++ b/src/grpc/answer.cpp
@@ -19,11 +19,11 @@
                        : said(StatusCode::UNAVAILABLE, std::move(result.reason), "the client has ended");
     case Status::invalid:
       return said(StatusCode::INVALID_ARGUMENT, std::move(result.reason), "it could never be sent");
+    case Status::absent: return said(StatusCode::NOT_FOUND, std::move(result.reason), "there is no such key");
     case Status::failed: break;
   }
   if (result.late)
     return said(StatusCode::DEADLINE_EXCEEDED, std::move(result.reason), "no answer within the deadline");
-  if (result.absent) return said(StatusCode::NOT_FOUND, std::move(result.reason), "there is no such key");
   // Not UNAVAILABLE: what stands for that in most callers' settings is asked again.
   return said(StatusCode::UNKNOWN, std::move(result.reason), "no server gave an answer that could be used");
 }
--- a/src/plugin/client.cpp
+++ b/src/plugin/client.cpp
@@ -261,6 +261,7 @@
       case Status::failed: ++counts.failed; break;
       case Status::withdrawn: ++counts.withdrawn; break;
       case Status::invalid: ++counts.invalid; break;
+      case Status::absent: ++counts.absent; break;
     }
   }
   void deliver(const std::shared_ptr<CallState>& call, Result result) {
@@ -315,7 +316,8 @@
 
   // ---- Of all threads
   struct {
-    std::atomic<std::uint64_t> calls{0}, served{0}, refused{0}, failed{0}, withdrawn{0}, invalid{0}, threw{0};
+    std::atomic<std::uint64_t> calls{0}, served{0}, refused{0}, failed{0}, withdrawn{0}, invalid{0},
+        absent{0}, threw{0};
   } counts;
   std::atomic<std::uint64_t> wakeups{0}, pauses{0}, last_number{0};
   std::atomic<std::size_t> open_calls{0};
@@ -334,7 +336,6 @@
   if (!client) return;
   Result result;
   result.may_have_run = save && reply.may_have_run;
-  result.absent = reply.absent;
   result.retry_after = std::chrono::microseconds(reply.retry_after);
   result.reason = std::move(reply.why);
   switch (reply.kind) {
@@ -343,17 +344,21 @@
     case node::Reply::Kind::failed: result.status = Status::failed; break;
   }
   result.late = reply.late;
-  // A RESP server's null is an answer there; a caller asked for a value.
-  if (result.status == Status::served && !save && reply.answer.form == node::Answer::Form::nothing) {
-    result.status = Status::failed;
-    result.absent = true;
-  }
+  // A RESP server's null is an answer there; a caller asked for a value. What ended otherwise than by that
+  // answer was not asked to the end.
+  const bool nothing =
+      result.status == Status::served && !save && reply.answer.form == node::Answer::Form::nothing;
+  if (nothing || (reply.absent && !save && result.status == Status::failed && !result.late))
+    result.status = Status::absent;
   // Whatever the loop thinks the time is: what comes when the caller has given up is not in time.
-  if (result.status == Status::served && client->clock.real_now() > deadline) {
+  if ((result.status == Status::served || result.status == Status::absent) &&
+      client->clock.real_now() > deadline) {
     result.status = Status::failed;
     result.late = true;
     result.may_have_run = save;
   }
+  result.absent = result.status == Status::absent;
+  if (result.absent && result.reason.empty()) result.reason = "no server has such a key";
   if (result.status == Status::served) {
     result.value = std::move(reply.answer.body);
     result.content_type = std::move(reply.answer.content_type);
@@ -512,6 +517,7 @@
   out.failed = impl_->counts.failed;
   out.withdrawn = impl_->counts.withdrawn;
   out.invalid = impl_->counts.invalid;
+  out.absent = impl_->counts.absent;
   out.threw = impl_->counts.threw;
   out.pauses = impl_->pauses;
   out.wakeups = impl_->wakeups;
--- a/tests/grpc/route_test.cpp
+++ b/tests/grpc/route_test.cpp
@@ -128,7 +128,7 @@
   };
   EXPECT_EQ(code({.status = Status::served}), StatusCode::OK);
   EXPECT_EQ(code({.status = Status::failed, .late = true}), StatusCode::DEADLINE_EXCEEDED);
-  EXPECT_EQ(code({.status = Status::failed, .absent = true}), StatusCode::NOT_FOUND);
+  EXPECT_EQ(code({.status = Status::absent}), StatusCode::NOT_FOUND);
   EXPECT_EQ(code({.status = Status::failed}), StatusCode::UNKNOWN);
   EXPECT_EQ(code({.status = Status::withdrawn}, true), StatusCode::CANCELLED);
   EXPECT_EQ(code({.status = Status::withdrawn}), StatusCode::UNAVAILABLE);
