--- a/tests/plugin/equal_test.cpp
+++ b/tests/plugin/equal_test.cpp
@@ -27,6 +27,8 @@
   int saves_every = 10;
 };
 
+void PrintTo(const Scenario& scenario, std::ostream* out) { *out << scenario.name; }
+
 struct Figures {
   int served = 0, refused = 0, failed = 0;
   std::uint64_t attempts = 0;
--- a/tests/policy/replay_test.cpp
+++ b/tests/policy/replay_test.cpp
@@ -15,6 +15,8 @@
   std::uint64_t sends, cancels, refused, failed, digest;
 };
 
+void PrintTo(const Recorded& recorded, std::ostream* out) { *out << recorded.shape.name; }
+
 class Replay : public ::testing::TestWithParam<Recorded> {};
 
 TEST_P(Replay, TheSameEventsHaveTheSameActions) {
