A bad configuration is told by key path, what stands there and what was expected

A table of 56 mistakes over all keys, seen to fail before (the library's words, or silently taken: an object where a number belongs, a text for FamilyInfo). valijson was weighed: a schema's errors name a rule, not what was expected, and the platform's build would need another package.

--- a/src/adapter.cpp
+++ b/src/adapter/main.cpp
@@ -13,8 +13,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "adapter/wire.h"
 #include "streampick/router.h"
-#include "wire.h"
 
 namespace {
 
--- a/src/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -1,4 +1,4 @@
-#include "wire.h"
+#include "adapter/wire.h"
 
 #include <algorithm>
 #include <array>
--- a/src/wire.h
+++ b/src/adapter/wire.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "settings.h"
+#include "settings/settings.h"
 #include "streampick/router.h"
 
 namespace streampick::wire {
--- a/src/engine/keys.h
+++ b/src/engine/keys.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-#include "settings.h"
+#include "settings/settings.h"
 
 namespace streampick::node {
 
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -18,7 +18,7 @@
 #include "net/listener.h"
 #include "overload/connections.h"
 #include "overload/descriptors.h"
-#include "settings.h"
+#include "settings/settings.h"
 
 namespace streampick::node {
 
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -1,15 +1,15 @@
 #include "platform/node_settings.h"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 #include <fstream>
 #include <iterator>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
 #include "net/tcp.h"
 #include "roster/members.h"
+#include "settings/json_value.h"
 
 namespace streampick::node {
 namespace {
@@ -20,10 +20,11 @@
 constexpr std::size_t kLeastDescriptors = 64;
 constexpr std::size_t kSocketsUnlessTold = 1024, kMemoryMbUnlessTold = 32;
 
-tcp::endpoint endpoint(const json& value) {
-  const std::string text = value.get<std::string>();
-  if (const auto parsed = parse_endpoint(text)) return *parsed;
-  throw std::runtime_error("bad address '" + text.substr(0, 80) + "'");
+tcp::endpoint endpoint(const JsonValue& config, const char* key) {
+  const char* const expected = "an address and a port, as 10.0.0.4:3000";
+  const JsonValue value = config.at(key, expected);
+  if (const auto parsed = parse_endpoint(value.text(expected))) return *parsed;
+  value.wrong(expected);
 }
 
 std::string plain(const json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
@@ -47,9 +48,36 @@
   }
 }
 
-std::uint64_t parse_seed(const json& value) {
-  if (value.is_number_unsigned()) return value.get<std::uint64_t>();
-  return hash_name(plain(value));
+std::uint64_t parse_seed(const JsonValue& value) {
+  if (value.json().is_number_unsigned()) return value.whole(0, std::numeric_limits<std::uint64_t>::max());
+  if (!value.json().is_string()) value.wrong("a whole number, or a text");
+  return hash_name(value.text("a text"));
+}
+
+// Profiles.0.AimUs, as the settings are flattened, to settings.Profiles[0].AimUs, as they stand in the file.
+std::string told(const SettingsError& error) {
+  const std::string_view path = error.path();
+  std::string out = "settings";
+  for (std::size_t at = 0; at <= path.size();) {
+    const std::size_t end = std::min(path.find('.', at), path.size());
+    const std::string part(path.substr(at, end - at));
+    const bool number = !part.empty() && part.find_first_not_of("0123456789") == std::string::npos;
+    out += number ? "[" + part + "]" : "." + part;
+    at = end + 1;
+  }
+  return out + std::string(error.what()).substr(path.size());
+}
+
+Settings read_part(const JsonValue& part) {
+  SettingValues values;
+  flatten("", part.object("an object with the settings").json(), values);
+  try {
+    Settings out = read_settings(values);
+    check_usable(values, out);
+    return out;
+  } catch (const SettingsError& error) {
+    throw std::runtime_error(told(error));
+  }
 }
 
 }  // namespace
@@ -60,23 +88,24 @@
 }
 
 NodeSettings parse_settings(const std::string& text) {
-  const json config = json::parse(text);
+  const json document = parse_json(text);
+  const JsonValue config(document);
+  config.object("an object with the keys settings, listen and discovery");
   NodeSettings out;
-  SettingValues values;
-  flatten("", config.at("settings"), values);
-  out.settings = read_settings(values);
+  out.settings = read_part(config.at("settings", "an object with the settings"));
   validate(out.settings.config);
-  out.name = config.value("name", "");
-  out.listen = endpoint(config.at("listen"));
-  out.discovery = endpoint(config.at("discovery"));
-  if (config.contains("seed")) out.settings.seed = parse_seed(config.at("seed"));
+  if (const auto name = config.find("name")) out.name = name->text("a text");
+  out.listen = endpoint(config, "listen");
+  out.discovery = endpoint(config, "discovery");
+  if (const auto seed = config.find("seed")) out.settings.seed = parse_seed(*seed);
   out.sockets = kSocketsUnlessTold;
   out.memory_mb = kMemoryMbUnlessTold;
-  if (config.contains("limits")) out.cores = config.at("limits").value("cores", 1.0);
-  if (config.contains("limits")) out.memory_mb = config.at("limits").value("memory_mb", kMemoryMbUnlessTold);
-  if (config.contains("limits")) out.sockets = config.at("limits").value("sockets", kSocketsUnlessTold);
-  if (config.contains("known") && !config.at("known").is_null())
-    out.known = parse_members(config.at("known"), out.settings.names);
+  if (const auto limits = config.find("limits")) {
+    if (const auto cores = limits->find("cores")) out.cores = cores->number(1e-3, 1e6, "a number above 0");
+    if (const auto memory = limits->find("memory_mb")) out.memory_mb = memory->whole(1, 1U << 30U);
+    if (const auto sockets = limits->find("sockets")) out.sockets = sockets->whole(1, 1U << 30U);
+  }
+  if (const auto known = config.find("known")) out.known = parse_members(*known, out.settings.names);
   return out;
 }
 
--- a/src/platform/node_settings.h
+++ b/src/platform/node_settings.h
@@ -8,7 +8,7 @@
 
 #include "engine/roster.h"
 #include "overload/descriptors.h"
-#include "settings.h"
+#include "settings/settings.h"
 
 namespace streampick::node {
 
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -16,7 +16,7 @@
 #include "net/listener.h"
 #include "overload/descriptors.h"
 #include "resp/conversation.h"
-#include "settings.h"
+#include "settings/settings.h"
 
 namespace streampick::resp {
 
--- a/src/resp/options.h
+++ b/src/resp/options.h
@@ -9,7 +9,7 @@
 #include "options/table.h"
 #include "resp/front.h"
 #include "resp/transport.h"
-#include "settings.h"
+#include "settings/settings.h"
 
 namespace streampick::resp {
 
--- a/src/roster/discovery.h
+++ b/src/roster/discovery.h
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "engine/roster.h"
-#include "settings.h"
+#include "settings/settings.h"
 
 namespace streampick::node {
 
--- a/src/roster/members.cpp
+++ b/src/roster/members.cpp
@@ -1,56 +1,61 @@
 #include "roster/members.h"
 
-#include <cmath>
+#include <limits>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
 
 #include "net/tcp.h"
 
 namespace streampick::node {
 namespace {
 
-using nlohmann::json;
-
 // 0 stays 0, which means long ago.
 Time unix_ms(std::int64_t ms) { return ms <= 0 ? 0 : ms * 1000; }
 
-Listed parse_member(const json& entry, const Names& names) {
+Listed parse_member(const JsonValue& entry, const Names& names) {
+  const char* const phases = "in_service, terminating or terminated";
+  const char* const address = "an address and a port, as 10.1.0.18:3000";
   Listed out;
-  out.id = entry.at("id").get<std::string>();
-  if (out.id.empty() || out.id.size() > 256) throw std::runtime_error("bad member id");
+  out.id = entry.at("id", "a text of 1 to 256 bytes").text("a text of 1 to 256 bytes", 1, 256);
   out.member.identity = hash_name(out.id);
-  const std::string phase = entry.at("phase").get<std::string>();
-  if (phase == "terminating") {
+  const JsonValue phase = entry.at("phase", phases);
+  const std::string word = phase.text(phases);
+  if (word == "terminating") {
     out.member.phase = Phase::draining;
-  } else if (phase == "terminated") {
+  } else if (word == "terminated") {
     out.member.phase = Phase::gone;
-  } else if (phase != "in_service") {
-    throw std::runtime_error("bad phase '" + phase.substr(0, 80) + "'");
+  } else if (word != "in_service") {
+    phase.wrong(phases);
   }
-  out.address = entry.at("host_port").get<std::string>();
-  if (!parse_endpoint(out.address))
-    throw std::runtime_error("bad address '" + out.address.substr(0, 80) + "'");
-  out.member.zone = index_of(names.zones, entry.value("locality", ""));
-  out.member.kind = index_of(names.kinds, entry.value("flavor", ""));
-  out.member.cell = entry.value("cell", 0U);
-  out.member.weight = entry.value("size", 1.0);
-  if (!std::isfinite(out.member.weight) || out.member.weight < 0) throw std::runtime_error("bad size");
-  out.member.started = unix_ms(entry.value("up_since_ms", std::int64_t{0}));
+  const JsonValue host_port = entry.at("host_port", address);
+  out.address = host_port.text(address);
+  if (!parse_endpoint(out.address)) host_port.wrong(address);
+  if (const auto zone = entry.find("locality"))
+    out.member.zone = index_of(names.zones, zone->text("a zone's name"));
+  if (const auto kind = entry.find("flavor"))
+    out.member.kind = index_of(names.kinds, kind->text("a kind's name"));
+  if (const auto cell = entry.find("cell"))
+    out.member.cell = static_cast<std::uint32_t>(cell->whole(0, std::numeric_limits<std::uint32_t>::max()));
+  if (const auto size = entry.find("size"))
+    out.member.weight = size->number(0, std::numeric_limits<double>::max(), "a number of 0 or more");
+  if (const auto since = entry.find("up_since_ms"))
+    out.member.started = unix_ms(static_cast<std::int64_t>(since->number(-9e15, 9e15, "milliseconds")));
   return out;
 }
 
 }  // namespace
 
-MemberList parse_members(const json& list, const Names& names) {
+MemberList parse_members(const JsonValue& list, const Names& names) {
   MemberList out;
-  out.revision = list.at("revision").get<std::uint64_t>();
-  out.complete = list.at("complete").get<bool>();
-  for (const json& entry : list.at("members")) out.members.push_back(parse_member(entry, names));
+  out.revision = list.at("revision", "a whole number").whole(0, std::numeric_limits<std::uint64_t>::max());
+  out.complete = list.at("complete", "true or false").yes();
+  for (const JsonValue& entry : list.at("members", "a list of servers").items("a list of servers"))
+    out.members.push_back(parse_member(entry, names));
   return out;
 }
 
 MemberList parse_members(const std::string& text, const Names& names) {
-  return parse_members(json::parse(text), names);
+  const nlohmann::json list = parse_json(text);
+  return parse_members(JsonValue(list), names);
 }
 
 }  // namespace streampick::node
--- a/src/roster/members.h
+++ b/src/roster/members.h
@@ -1,16 +1,16 @@
 // The platform's list of servers as JSON.
 #pragma once
 
-#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 #include "engine/roster.h"
-#include "settings.h"
+#include "settings/json_value.h"
+#include "settings/settings.h"
 
 namespace streampick::node {
 
-// Throws std::runtime_error.
-MemberList parse_members(const nlohmann::json& json, const Names& names);
+// Throws JsonError.
+MemberList parse_members(const JsonValue& list, const Names& names);
 MemberList parse_members(const std::string& json, const Names& names);
 
 }  // namespace streampick::node
--- a/src/settings.h
+++ b/src/settings/settings.h
@@ -20,8 +20,11 @@
 
 class SettingsError : public std::runtime_error {
  public:
-  SettingsError(std::string path, std::string text)
-      : std::runtime_error("bad " + path + ": '" + text.substr(0, 80) + "'"),
+  // `text`: what stands there; empty: nothing does.
+  SettingsError(std::string path, std::string text, const std::string& expected)
+      : std::runtime_error(path + ": " +
+                           (text.empty() ? "missing" : "there is '" + text.substr(0, 60) + "'") +
+                           ", expected " + expected),
         path_(std::move(path)),
         text_(std::move(text)) {}
   const std::string& path() const { return path_; }
@@ -43,7 +46,9 @@
   Time drain_grace = 0;  // nothing new goes to a departing server later than this after the news
 };
 
+// Both throw SettingsError. check_usable() says what a router would refuse to be made with, by its path.
 Settings read_settings(const SettingValues& values);
+void check_usable(const SettingValues& values, const Settings& settings);
 
 std::optional<double> to_number(std::string_view text);
 std::uint32_t index_of(const std::vector<std::string>& names, std::string_view name);  // kNone: not there
