--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
-#include <iostream>
+#include <cstdio>
 #include <string>
 #include <utility>
 
@@ -14,7 +14,10 @@
 
 void write(std::string_view text) {
   if (sink != nullptr) return (*sink)(text);
-  std::cerr << "streampick: " << text << '\n';
+  // In one call: lines of several processes on one standard error are not mixed.
+  std::string line = "streampick: ";
+  line.append(text) += '\n';
+  std::fwrite(line.data(), 1, line.size(), stderr);
 }
 }  // namespace
 
