--- a/include/streampick/client.h
+++ b/include/streampick/client.h
@@ -74,11 +74,15 @@
   std::function<void(std::function<void()>)> run_callback = {};
   std::function<void(std::string_view)> log = {};  // from any thread; none: nothing is logged
   std::size_t most_calls = 10'000;                 // open at a time; what comes beyond is refused at once
+  // After so long without an open call the client rests: its connections and its watch on the list of servers
+  // are closed, and nothing wakes it. The call that ends a rest waits until the list has been read, half a
+  // second at most. 0: never. For programs that call a few times a minute.
+  std::chrono::milliseconds rest_after{0};
 };
 
 struct ClientCounts {
   std::uint64_t calls = 0, served = 0, refused = 0, failed = 0, withdrawn = 0, invalid = 0, absent = 0;
-  std::uint64_t attempts = 0, cancels = 0, dials = 0, threw = 0, pauses = 0, wakeups = 0;
+  std::uint64_t attempts = 0, cancels = 0, dials = 0, threw = 0, pauses = 0, wakeups = 0, rests = 0;
   std::size_t open = 0, connections = 0, servers = 0;
 };
 
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -13,6 +13,7 @@
 constexpr Time kAnswerTakes = 20 * kMs, kGuardBefore = 8 * kMs;
 constexpr Time kAcceptAfterTerm = 500 * kMs, kAnswerAfterTerm = 3'200 * kMs, kLastWrites = 200 * kMs;
 constexpr Time kRememberTxn = 2 * kSecond;
+constexpr int kMadeUp = 600;  // of the module's wake-ups after a rest: two minutes of its ticks
 constexpr std::size_t kMostEndedTxns = 4096, kLeastSweep = 1024;
 
 bool may_have_run(Outcome outcome) {
@@ -294,6 +295,10 @@
 // What was due while nobody was to be woken.
 void Engine::catch_up() {
   if (!rests_ || armed_ != kNever) return;
+  // Each at its own time, so that the module has learnt by its ticks what it would have learnt awake; of a
+  // long rest the first of them, by which all it knew has faded, and then what is left at once.
+  for (int made_up = 0; made_up < kMadeUp && router_->next_wakeup() <= time_.now(); ++made_up)
+    router_->on_wakeup(router_->next_wakeup());
   if (router_->next_wakeup() <= time_.now()) router_->on_wakeup(time_.now());
   if (!second_armed_) every_second();
 }
@@ -476,11 +481,13 @@
 }
 
 void Engine::list_came(const MemberList& list) {
+  catch_up();
   apply(list.complete ? Update::full : Update::changes, list);
   settle();
 }
 
 void Engine::list_failed() {
+  catch_up();
   router_->on_members(time_.now(), Update::failed, {});
   settle();
 }
--- a/src/plugin/client.cpp
+++ b/src/plugin/client.cpp
@@ -14,19 +14,19 @@
 #include <mutex>
 #include <random>
 #include <thread>
-#include <unordered_map>
 #include <vector>
 
 #include "engine/engine.h"
-#include "engine/keys.h"
 #include "net/links.h"
 #include "net/log.h"
 #include "platform/node_settings.h"
 #include "platform/transports.h"
 #include "plugin/callbacks.h"
+#include "plugin/calls.h"
 #include "plugin/held_transport.h"
 #include "plugin/host_clock.h"
 #include "plugin/quiet_signals.h"
+#include "plugin/rest.h"
 #include "roster/discovery.h"
 
 namespace streampick {
@@ -35,7 +35,6 @@
 
 namespace {
 
-constexpr std::size_t kLongestKey = 4 * 1024, kLongestValue = 64 * 1024;
 constexpr auto kBusy = std::chrono::milliseconds(50);  // when to come back, where too many calls are open
 
 node::NodeSettings read(const ClientSettings& settings) {
@@ -65,35 +64,37 @@
 
 }  // namespace
 
-// A call from its begin to its end. Everything but the flag is the I/O thread's.
-struct Call::State final : node::Asker, std::enable_shared_from_this<Call::State> {
+// A call as the host holds it. What becomes of it is decided on the I/O thread, by plugin::Calls.
+struct Call::State final : plugin::Calls::Open {
   std::weak_ptr<Client::Impl> owner;
   Client::Callback callback;
   bool inline_callback = false;  // it does no more than to wake somebody: no thread is needed
-  std::uint64_t number = 0;
-  RequestId request = 0;  // 0: not with the engine
-  Time deadline = 0;      // real us
-  bool save = false, ended = false;
+  bool submitted = false;        // told to the rest, which counts those that are open
   std::atomic<bool> cancelled{false};
 
-  void reply(std::uint64_t, node::Reply reply) override;
+  void ended(Result result) override;
 };
 
-struct Client::Impl final : node::Front,
-                            node::Roster,
+struct Client::Impl final : node::Roster,
                             private node::Transports,
                             private node::ListReader,
                             public std::enable_shared_from_this<Client::Impl> {
   using CallState = Call::State;
 
   explicit Impl(const ClientSettings& settings)
-      : own(settings), told(read(settings)), clock(io, [this](Time length) { stood_still(length); }) {
+      : own(settings),
+        told(read(settings)),
+        clock(io, [this](Time length) { stood_still(length); }),
+        rest(std::chrono::microseconds(settings.rest_after).count()),
+        rest_timer(io) {
+    if (own.rest_after.count() < 0) throw ClientError("streampick client: rest_after is below 0");
     read_class = class_named(told, settings.read_class, true);
     save_class = class_named(told, settings.save_class, false);
     // No two clients draw alike, also those that were given the same settings.
     std::random_device device;
-    last_id = (static_cast<std::uint64_t>(device()) << 32U) ^ device() ^ told.settings.seed;
-    const std::uint64_t seed = XXH3_64bits(&last_id, sizeof last_id);
+    const std::uint64_t first_id =
+        (static_cast<std::uint64_t>(device()) << 32U) ^ device() ^ told.settings.seed;
+    const std::uint64_t seed = XXH3_64bits(&first_id, sizeof first_id);
     servers = make_servers(settings);
     descriptors = overload::Descriptors(overload::Descriptors::Limits{node::descriptor_limits(told).total, 0,
                                                                       node::descriptor_limits(told).total});
@@ -110,7 +111,9 @@
     const bool must_ask = told.settings.config.must_ask;
     discovery.emplace(io, told.settings.names, told.discovery, told.known.revision, !must_ask, seed,
                       static_cast<node::ListReader&>(*this));
-    engine->add(*this);
+    calls.emplace(told.settings, first_id, [this] { return clock.real_now(); });
+    calls->ask_from(*engine);
+    engine->add(*calls);
     hold_over.emplace(io);
     if (settings.callback_threads > 0 && !settings.run_callback)
       workers = std::make_unique<plugin::Workers>(settings.callback_threads);
@@ -178,6 +181,10 @@
     const Time length = std::exchange(paused, 0);
     node::log("the host stood still for " + std::to_string(length / 1000) + " ms");
     engine->stood_still(length);
+    read_list();
+  }
+  // Nothing new is sent until the list is in.
+  void read_list() {
     discovery->read_anew();
     hold_over->expires_after(
         std::chrono::microseconds(std::max<Time>(0, clock.resume().hold_until() - clock.real_now())));
@@ -209,46 +216,38 @@
   }
   void list_failed() override { engine->list_failed(); }
 
-  // As a front: the calls are its clients.
-  void drain() override {}
-  void stop_accepting() override {}
-  std::size_t unanswered() const override { return calls.size(); }
-  std::size_t open() const override { return calls.size(); }
-
   // ---- Calls
 
-  void submit(const std::shared_ptr<CallState>& call, std::uint32_t request_class, std::uint32_t tenant,
-              const std::shared_ptr<node::Message>& message) {
-    if (call->cancelled || closing) return finish(call, {.status = Status::withdrawn});
+  void submit(const std::shared_ptr<CallState>& call, plugin::Asked asked) {
+    if (rest.began()) wake();
+    if (call->cancelled) return calls->finish(call, {.status = Status::withdrawn});
     clock.now();  // a pause shows here at the latest
     if (resuming) resume();
-    const Time left = call->deadline - clock.real_now();
-    if (left <= 0) return finish(call, {.status = Status::failed, .late = true});
-    node::Incoming incoming;
-    incoming.request_class = request_class;
-    incoming.tenant = tenant;
-    incoming.has_key = true;
-    incoming.key = node::key_number(node::escape_key(message->key));
-    incoming.remaining = left;
-    incoming.tag = call->number;
-    ++last_id;
-    incoming.txn = XXH3_64bits(&last_id, sizeof last_id);
-    message->txn = node::hex(incoming.txn);
-    if (call->save && message->idempotency_key.empty() && told.settings.names.keyed.at(request_class))
-      message->idempotency_key = message->txn;
-    incoming.message = message;
-    calls.emplace(call->number, call);
-    const RequestId id = engine->asked(call, std::move(incoming));
-    if (id == 0) return finish(call, {.status = Status::failed, .reason = "an id was drawn twice"});
-    if (!call->ended) call->request = id;
+    calls->submit(call, std::move(asked));
   }
-
-  // The one place where a call ends.
-  void finish(const std::shared_ptr<CallState>& call, Result result) {
-    if (std::exchange(call->ended, true)) return;
-    calls.erase(call->number);
+  // Asked for again after a rest.
+  void wake() {
+    if (told.settings.config.must_ask) return;
+    clock.resume().hold(clock.real_now());
+    engine->stood_still(0);  // what went meanwhile went unheard of, connections and servers
+    read_list();
+  }
+  void look_at_rest(Time at) {
+    rest_timer.expires_after(std::chrono::microseconds(std::max<Time>(0, at - clock.real_now())));
+    rest_timer.async_wait([this](const boost::system::error_code& cancelled) {
+      if (cancelled || done || !rest.begins(clock.real_now())) return;
+      ++rests;
+      discovery->pause();
+      while (engine->free_a_connection()) {
+      }
+    });
+  }
+  void call_ended(const std::shared_ptr<CallState>& call, Result result) {
     count(result.status);
     deliver(call, std::move(result));
+    if (call->submitted) {
+      if (const Time at = rest.ended(clock.real_now()); at > 0) look_at_rest(at);
+    }
     if (--open_calls == 0) {
       const std::lock_guard lock(mutex);
       idle.notify_all();
@@ -279,18 +278,8 @@
     if (workers) return workers->run(std::move(run));
     asio::post(io, std::move(run));
   }
-
-  void cancel(const std::shared_ptr<CallState>& call) {
-    if (call->ended) return;
-    const RequestId request = std::exchange(call->request, 0);
-    finish(call, {.status = Status::withdrawn});
-    if (request != 0) engine->withdrawn(request);
-  }
   void end_all() {
-    closing = true;
-    std::vector<std::shared_ptr<CallState>> left;
-    for (const auto& [number, call] : calls) left.push_back(call);
-    for (const auto& call : left) cancel(call);
+    calls->close();
     // Calls that were posted and not looked at yet end too, as withdrawn.
     io.restart();
     io.poll();
@@ -308,18 +297,19 @@
   std::optional<node::Engine> engine;
   std::optional<node::Discovery> discovery;
   std::optional<asio::steady_timer> hold_over;
-  std::unordered_map<std::uint64_t, std::shared_ptr<CallState>> calls;
-  std::uint64_t last_id = 0;
+  std::optional<plugin::Calls> calls;
+  plugin::Rest rest;
+  asio::steady_timer rest_timer;
   std::uint32_t read_class = kNone, save_class = kNone;
   Time paused = 0;
-  bool resuming = false, closing = false, done = false;
+  bool resuming = false, done = false;
 
   // ---- Of all threads
   struct {
     std::atomic<std::uint64_t> calls{0}, served{0}, refused{0}, failed{0}, withdrawn{0}, invalid{0},
         absent{0}, threw{0};
   } counts;
-  std::atomic<std::uint64_t> wakeups{0}, pauses{0}, last_number{0};
+  std::atomic<std::uint64_t> wakeups{0}, pauses{0}, rests{0};
   std::atomic<std::size_t> open_calls{0};
   std::atomic<bool> refusing{false};  // drained, or about to be
   const pid_t pid = ::getpid();
@@ -331,39 +321,9 @@
   std::thread::id thread_id;
 };
 
-void Call::State::reply(std::uint64_t, node::Reply reply) {
+void Call::State::ended(Result result) {
   const auto client = owner.lock();
-  if (!client) return;
-  Result result;
-  result.may_have_run = save && reply.may_have_run;
-  result.retry_after = std::chrono::microseconds(reply.retry_after);
-  result.reason = std::move(reply.why);
-  switch (reply.kind) {
-    case node::Reply::Kind::served: result.status = Status::served; break;
-    case node::Reply::Kind::refused: result.status = Status::refused; break;
-    case node::Reply::Kind::failed: result.status = Status::failed; break;
-  }
-  result.late = reply.late;
-  // A RESP server's null is an answer there; a caller asked for a value. What ended otherwise than by that
-  // answer was not asked to the end.
-  const bool nothing =
-      result.status == Status::served && !save && reply.answer.form == node::Answer::Form::nothing;
-  if (nothing || (reply.absent && !save && result.status == Status::failed && !result.late))
-    result.status = Status::absent;
-  // Whatever the loop thinks the time is: what comes when the caller has given up is not in time.
-  if ((result.status == Status::served || result.status == Status::absent) &&
-      client->clock.real_now() > deadline) {
-    result.status = Status::failed;
-    result.late = true;
-    result.may_have_run = save;
-  }
-  result.absent = result.status == Status::absent;
-  if (result.absent && result.reason.empty()) result.reason = "no server has such a key";
-  if (result.status == Status::served) {
-    result.value = std::move(reply.answer.body);
-    result.content_type = std::move(reply.answer.content_type);
-  }
-  client->finish(shared_from_this(), std::move(result));
+  if (client) client->call_ended(std::static_pointer_cast<State>(shared_from_this()), std::move(result));
 }
 
 void Call::cancel() const {
@@ -371,7 +331,7 @@
   if (!call || call->cancelled.exchange(true)) return;
   const auto client = call->owner.lock();
   if (!client || ::getpid() != client->pid) return;
-  asio::post(client->io, [client = client.get(), call] { client->cancel(call); });
+  asio::post(client->io, [client = client.get(), call] { client->calls->cancel(call); });
 }
 
 Client::Client(const ClientSettings& settings) : impl_(std::make_shared<Impl>(settings)) { impl_->start(); }
@@ -399,7 +359,6 @@
   call->inline_callback = direct;
   call->owner = impl_;
   call->callback = std::move(callback);
-  call->save = save;
   if (::getpid() != impl_->pid) {
     // Neither threads nor connections are this process's: told at once, here.
     call->callback({.status = Status::invalid, .reason = "the process was forked: open a client of its own"});
@@ -407,29 +366,15 @@
   }
   ++impl_->counts.calls;
   ++impl_->open_calls;
-  call->number = ++impl_->last_number;
-  const Names& names = impl_->told.settings.names;
-  const auto& classes = impl_->told.settings.config.classes;
-  std::string wrong;
-  std::uint32_t kind = save ? impl_->save_class : impl_->read_class;
-  if (!options.request_class.empty()) kind = index_of(names.classes, options.request_class);
-  const std::uint32_t tenant = options.tenant.empty() ? kNone : index_of(names.tenants, options.tenant);
-  if (kind == kNone) wrong = "no class '" + options.request_class + "'";
-  if (kind != kNone && !save && classes[kind].effect != Effect::safe)
-    wrong = "a read of a class that is not safe";
-  if (!options.tenant.empty() && tenant == kNone) wrong = "no tenant '" + options.tenant + "'";
-  if (key.empty() || key.size() > kLongestKey) wrong = "a key has 1 to 4096 bytes";
-  if (value.size() > kLongestValue) wrong = "a value has at most 65536 bytes";
-  if (options.idempotency_key.find_first_of("\r\n") != std::string::npos ||
-      options.content_type.find_first_of("\r\n") != std::string::npos)
-    wrong = "a line's end in a header";
-  if (options.deadline.count() < 0) wrong = "a deadline before the call";
+  plugin::Checked checked =
+      plugin::check_call(impl_->told.settings, save, save ? impl_->save_class : impl_->read_class, key,
+                         std::move(value), options, impl_->clock.real_now());
   const auto tell = [this, call](Result result) {
     asio::post(impl_->io,
-               [impl = impl_.get(), call, result = std::move(result)] { impl->finish(call, result); });
+               [impl = impl_.get(), call, result = std::move(result)] { impl->calls->finish(call, result); });
   };
-  if (!wrong.empty()) {
-    tell({.status = Status::invalid, .reason = wrong});
+  if (!checked.wrong.empty()) {
+    tell({.status = Status::invalid, .reason = checked.wrong});
     return Call(call);
   }
   if (impl_->refusing) {
@@ -440,18 +385,9 @@
     tell({.status = Status::refused, .retry_after = kBusy, .reason = "too many calls are open"});
     return Call(call);
   }
-  Time longest = classes[kind].deadline > 0 ? classes[kind].deadline : 60'000'000;
-  if (options.deadline.count() > 0) longest = std::min<Time>(longest, options.deadline.count());
-  call->deadline = impl_->clock.real_now() + longest;
-  const auto message = std::make_shared<node::Message>();
-  message->operation = save ? node::Operation::write : node::Operation::read;
-  message->key = key;
-  message->target = "/" + names.classes[kind] + "/" + node::escape_key(key);
-  message->body = std::move(value);
-  message->idempotency_key = options.idempotency_key;
-  message->content_type = options.content_type;
-  asio::post(impl_->io, [impl = impl_.get(), call, kind, tenant, message] {
-    impl->submit(call, kind, tenant, message);
+  call->submitted = true;
+  asio::post(impl_->io, [impl = impl_.get(), call, asked = std::move(checked.asked)]() mutable {
+    impl->submit(call, std::move(asked));
   });
   return Call(call);
 }
@@ -493,10 +429,7 @@
   // Withdrawn, each told once.
   std::promise<void> ended;
   asio::post(impl_->io, [impl = impl_.get(), &ended] {
-    impl->closing = true;
-    std::vector<std::shared_ptr<Call::State>> left;
-    for (const auto& [number, call] : impl->calls) left.push_back(call);
-    for (const auto& call : left) impl->cancel(call);
+    impl->calls->close();
     ended.set_value();
   });
   ended.get_future().wait();
@@ -511,6 +444,19 @@
 
 ClientCounts Client::counts() const {
   ClientCounts out;
+  if (::getpid() == impl_->pid && std::this_thread::get_id() != impl_->thread_id) {
+    // On the I/O thread, where calls end: a call whose end was told is not counted as open any more.
+    std::promise<void> read;
+    asio::post(impl_->io, [&] {
+      out.attempts = impl_->engine->counts().attempts;
+      out.cancels = impl_->engine->counts().cancels;
+      out.servers = impl_->engine->servers();
+      out.dials = impl_->links.dials;
+      out.connections = impl_->links.connections;
+      read.set_value();
+    });
+    read.get_future().wait();
+  }
   out.calls = impl_->counts.calls;
   out.served = impl_->counts.served;
   out.refused = impl_->counts.refused;
@@ -520,19 +466,9 @@
   out.absent = impl_->counts.absent;
   out.threw = impl_->counts.threw;
   out.pauses = impl_->pauses;
+  out.rests = impl_->rests;
   out.wakeups = impl_->wakeups;
   out.open = impl_->open_calls;
-  if (::getpid() != impl_->pid || std::this_thread::get_id() == impl_->thread_id) return out;
-  std::promise<void> read;
-  asio::post(impl_->io, [&] {
-    out.attempts = impl_->engine->counts().attempts;
-    out.cancels = impl_->engine->counts().cancels;
-    out.servers = impl_->engine->servers();
-    out.dials = impl_->links.dials;
-    out.connections = impl_->links.connections;
-    read.set_value();
-  });
-  read.get_future().wait();
   return out;
 }
 
--- a/src/plugin/resume.h
+++ b/src/plugin/resume.h
@@ -32,9 +32,13 @@
     const long long length = now - due;
     ++pauses_;
     skipped_ += length;
+    hold(now);
+    return length;
+  }
+  // Nothing new goes out before the list has been read: after a pause, or a rest (rest.h).
+  void hold(long long now) {
     hold_until_ = now + settings_.hold;
     holding_ = true;
-    return length;
   }
   // The list was read after the pause: a whole one, or the watch told again where it stands.
   void list_read() { holding_ = false; }
--- a/src/roster/discovery.cpp
+++ b/src/roster/discovery.cpp
@@ -162,10 +162,15 @@
   watch();
 }
 
-void Discovery::stop() {
-  stopped_ = true;
+void Discovery::pause() {
   if (watch_) watch_->close();
   retry_.cancel();
+  ++turn_;
+}
+
+void Discovery::stop() {
+  stopped_ = true;
+  pause();
 }
 
 void Discovery::line(const std::string& text) {
--- a/src/roster/discovery.h
+++ b/src/roster/discovery.h
@@ -29,6 +29,8 @@
   void move_to(const boost::asio::ip::tcp::endpoint& address);
   // Asks for the whole list now, whatever is known.
   void read_anew();
+  // Ends the watch without a word, until the next watch() or read_anew().
+  void pause();
   void stop();
 
  private:
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -28,7 +28,7 @@
                               {"locality", "a"},
                               {"flavor", member.origin ? "origin" : "cache"},
                               {"cell", 1},
-                              {"phase", "in_service"},
+                              {"phase", member.phase},
                               {"size", 1.0},
                               {"up_since_ms", 0}});
   return out;
@@ -76,6 +76,10 @@
     read();
     write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(owner_->line_));
   }
+  void tell(const std::string& line) {
+    next_ += chunk(line);
+    if (!writing_) write({});
+  }
   void detach() {
     owner_ = nullptr;
     error_code ignored;
@@ -97,11 +101,15 @@
     });
   }
   void write(std::string text) {
-    out_ = std::move(text);
+    out_ = std::move(text) + std::exchange(next_, {});
+    writing_ = true;
+    timer_.cancel();
     asio::async_write(socket_, asio::buffer(out_),
                       [self = shared_from_this()](error_code error, std::size_t) {
+                        self->writing_ = false;
                         if (self->owner_ == nullptr) return;
                         if (error) return self->end();
+                        if (!self->next_.empty()) return self->write({});
                         self->timer_.expires_after(std::chrono::seconds(1));
                         self->timer_.async_wait([self](error_code cancelled) {
                           if (!cancelled && self->owner_ != nullptr) self->write(chunk("\n"));
@@ -117,7 +125,8 @@
   tcp::socket socket_;
   asio::steady_timer timer_;
   std::array<char, 1024> in_{};
-  std::string out_;
+  std::string out_, next_;
+  bool writing_ = false;
 };
 
 StaticDiscovery::StaticDiscovery(asio::io_context& io, const std::vector<PlatformMember>& members)
@@ -131,6 +140,13 @@
   for (const auto& watch : watches_) watch->detach();
 }
 
+void StaticDiscovery::change(const std::vector<PlatformMember>& members) {
+  json list = member_list(members);
+  list["revision"] = ++revision_;
+  line_ = list.dump() + "\n";
+  for (const auto& watch : watches_) watch->tell(line_);
+}
+
 std::string StaticDiscovery::address() const {
   return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
 }
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -1,5 +1,5 @@
-// What the platform is to a router, in small: discovery with a list that does not change, a configuration
-// file, and the router as a child process. For measurements and the demo.
+// What the platform is to a router, in small: discovery, whose list changes when told, a configuration file,
+// and the router as a child process. For measurements and the demo.
 #pragma once
 
 #include <sys/types.h>
@@ -17,6 +17,7 @@
 struct PlatformMember {
   std::string id, address;
   bool origin = false;
+  std::string phase = "in_service";
 };
 
 // A list as discovery words it: caches of the kind "cache", origins of the kind "origin".
@@ -33,11 +34,16 @@
   StaticDiscovery(const StaticDiscovery&) = delete;
   StaticDiscovery& operator=(const StaticDiscovery&) = delete;
   std::string address() const;
+  // The whole list from now on, written to every watch at once.
+  void change(const std::vector<PlatformMember>& members);
+  std::size_t watches() const { return watches_.size(); }
+  std::size_t watches_begun = 0;
 
  private:
   class Watch;
   void accept();
   boost::asio::io_context& io_;
+  std::uint64_t revision_ = 1;
   std::string line_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::set<std::shared_ptr<Watch>> watches_;
--- a/tests/engine/hand_driven.h
+++ b/tests/engine/hand_driven.h
@@ -20,12 +20,13 @@
   std::unique_ptr<Timer> timer(std::function<void()> due) override {
     return std::make_unique<HandTimer>(*this, std::move(due));
   }
-  // Moves on, calling each timer at its time, in the order of their times.
+  // Moves on, calling each timer at its time, in the order of their times; of two at one time the one that
+  // was made first.
   void advance(Time by) {
     const Time until = now_ + by;
     for (;;) {
       HandTimer* first = nullptr;
-      for (HandTimer* timer : timers_)
+      for (const auto& [number, timer] : timers_)
         if (timer->at_ <= until && (first == nullptr || timer->at_ < first->at_)) first = timer;
       if (first == nullptr) break;
       now_ = std::max(now_, first->at_);
@@ -39,17 +40,20 @@
 
  private:
   struct HandTimer final : Timer {
-    HandTimer(HandDriven& owner, std::function<void()> due) : owner_(owner), due_(std::move(due)) {
-      owner_.timers_.insert(this);
+    HandTimer(HandDriven& owner, std::function<void()> due)
+        : owner_(owner), due_(std::move(due)), number_(++owner_.made_) {
+      owner_.timers_.emplace(number_, this);
     }
-    ~HandTimer() override { owner_.timers_.erase(this); }
+    ~HandTimer() override { owner_.timers_.erase(number_); }
     void set(Time at) override { at_ = at; }
     void cancel() override { at_ = kNever; }
     HandDriven& owner_;
     std::function<void()> due_;
+    std::uint64_t number_;
     Time at_ = kNever;
   };
-  std::set<HandTimer*> timers_;
+  std::uint64_t made_ = 0;
+  std::map<std::uint64_t, HandTimer*> timers_;  // in the order they were made
   Time now_ = 1'000'000'000'000;
 };
 
--- /dev/null
+++ b/tests/engine/scripted_fleet.h
@@ -0,0 +1,137 @@
+// Servers on virtual time. What becomes of an attempt is drawn from the seed, the server, the key and how
+// often the server was asked for it, so that two routers who ask the same meet the same.
+#pragma once
+
+#include <queue>
+
+#include "engine/hand_driven.h"
+
+namespace streampick::node::test {
+
+struct Trouble {
+  enum class Kind : std::uint8_t { stall, reset, spoilt, full, refused, flush, slow } kind;
+  Time from = 0, to = 0;    // after the start, us
+  std::string server = {};  // empty: all but the origin
+  int per_thousand = 1'000;
+};
+
+class ScriptedFleet final : public Transports {
+ public:
+  ScriptedFleet(HandDriven& time, std::uint64_t seed, std::vector<Trouble> troubles)
+      : time_(time),
+        seed_(seed),
+        start_(time.now()),
+        troubles_(std::move(troubles)),
+        timer_(time.timer([this] { play(); })) {}
+  void report_to(Outcomes& outcomes) { outcomes_ = &outcomes; }
+  std::unique_ptr<Transport> make(const std::string& name, std::uint32_t kind) override {
+    return std::make_unique<Server>(*this, name, kind == 1);
+  }
+  bool at_rest() const { return out_.empty(); }
+
+  // By server; and by server and key.
+  std::map<std::string, std::uint64_t> requests;
+  std::map<std::pair<std::string, std::string>, std::uint64_t> asked;
+  std::map<std::string, std::uint64_t> saves;  // executions, by idempotency key or id
+  std::map<std::string, Time> last_send;
+
+ private:
+  struct Event {
+    Time at;
+    std::uint64_t number;
+    AttemptId attempt;
+    Outcome outcome;
+    std::string body;
+    bool operator>(const Event& other) const {
+      return std::tie(at, number) > std::tie(other.at, other.number);
+    }
+  };
+  struct Server final : Transport {
+    Server(ScriptedFleet& owner, std::string name, bool origin)
+        : owner_(owner), name_(std::move(name)), origin_(origin) {}
+    void set_address(const std::string&) override {}
+    void send(AttemptId attempt, std::shared_ptr<const Message> message, Time) override {
+      if (owner_.time_.now() >= nothing_from_) return owner_.later(1, attempt, Outcome::not_sent, {});
+      owner_.sent(name_, origin_, attempt, *message);
+    }
+    void forget(AttemptId attempt, Forget) override { owner_.out_.erase({attempt.request, attempt.number}); }
+    void close_idle(Time) override {}
+    bool close_oldest_idle() override { return false; }
+    ScriptedFleet& owner_;
+    std::string name_;
+    bool origin_;
+  };
+
+  static std::uint64_t mix(std::uint64_t value) {
+    value = (value ^ (value >> 33U)) * 0xff51afd7ed558ccdU;
+    value = (value ^ (value >> 33U)) * 0xc4ceb9fe1a85ec53U;
+    return value ^ (value >> 33U);
+  }
+  std::uint64_t draw(const std::string& server, const std::string& key, std::uint64_t turn) const {
+    return mix(seed_ ^
+               mix(std::hash<std::string>{}(server) + 3 * std::hash<std::string>{}(key) + turn * 7919));
+  }
+
+  void sent(const std::string& server, bool origin, AttemptId attempt, const Message& message) {
+    const Time since = time_.now() - start_;
+    ++requests[server];
+    last_send[server] = since;
+    const std::uint64_t turn = ++asked[{server, message.key}];
+    const std::uint64_t luck = draw(server, message.key, turn);
+    const bool write = is_write(message.operation);
+    Outcome outcome = Outcome::served;
+    Time takes = 1'000 + static_cast<Time>(luck % 4'000) * (origin ? 6 : 1);
+    Time& filled = filled_[{server, message.key}];
+    // A cache has what it was asked for before, but for a while after that.
+    if (!origin && !write) {
+      if (filled == 0 || filled > since) outcome = Outcome::miss;
+      if (filled == 0) filled = since + 60'000;
+    }
+    for (const Trouble& trouble : troubles_) {
+      if (since < trouble.from || since >= trouble.to) continue;
+      if (trouble.server.empty() ? origin : trouble.server != server) continue;
+      if (static_cast<int>((luck >> 20U) % 1'000) >= trouble.per_thousand) continue;
+      switch (trouble.kind) {
+        case Trouble::Kind::stall: takes += trouble.to - since; break;
+        case Trouble::Kind::slow: takes *= 20; break;
+        case Trouble::Kind::reset: outcome = Outcome::reset; break;
+        case Trouble::Kind::spoilt: outcome = Outcome::spoilt; break;
+        case Trouble::Kind::full: outcome = Outcome::full; break;
+        case Trouble::Kind::refused: outcome = Outcome::connect_failed; break;
+        case Trouble::Kind::flush: outcome = write ? outcome : Outcome::miss; break;
+      }
+    }
+    if (write && outcome != Outcome::full && outcome != Outcome::connect_failed)
+      ++saves[message.idempotency_key.empty() ? message.txn : message.idempotency_key];
+    later(takes, attempt, outcome, outcome == Outcome::served ? "value of " + message.key : "");
+  }
+  void later(Time by, AttemptId attempt, Outcome outcome, std::string body) {
+    out_.emplace(attempt.request, attempt.number);
+    events_.push({time_.now() + by, ++number_, attempt, outcome, std::move(body)});
+    timer_->set(events_.top().at);
+  }
+  void play() {
+    while (!events_.empty() && events_.top().at <= time_.now()) {
+      const Event event = events_.top();
+      events_.pop();
+      if (out_.erase({event.attempt.request, event.attempt.number}) == 0) continue;  // forgotten
+      Answer answer;
+      answer.body = event.body;
+      outcomes_->attempt_ended(event.attempt, event.outcome, std::move(answer));
+    }
+    if (!events_.empty()) timer_->set(events_.top().at);
+  }
+
+  HandDriven& time_;
+  std::uint64_t seed_;
+  Time start_;
+  std::vector<Trouble> troubles_;
+  Outcomes* outcomes_ = nullptr;
+  std::set<std::pair<RequestId, std::uint32_t>> out_;
+  std::map<std::pair<std::string, std::string>, Time> filled_;
+  std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
+  std::uint64_t number_ = 0;
+  std::unique_ptr<Timer> timer_;
+};
+
+}  // namespace streampick::node::test
--- a/tests/plugin/client_test.cpp
+++ b/tests/plugin/client_test.cpp
@@ -23,7 +23,7 @@
 struct Ends {
   std::mutex mutex;
   std::vector<int> times;
-  std::array<int, 5> by_status{};
+  std::array<int, 6> by_status{};
   explicit Ends(std::size_t calls) : times(calls) {}
   Client::Callback of(std::size_t i) {
     return [this, i](const Result& result) {
@@ -284,5 +284,44 @@
   EXPECT_LE(client.counts().wakeups - before, 9U);
 }
 
+TEST(PluginClient, ThatRestsHoldsNothingIsWokenByNothingAndReadsTheListBeforeItSendsAgain) {
+  StandinFleet fleet;
+  ClientSettings settings = fleet.settings;
+  settings.rest_after = 100ms;
+  Client client(settings);
+  std::vector<std::uint64_t> before(3);
+  for (int i = 0; i < 60; ++i) ASSERT_EQ(client.get("k" + std::to_string(i)).get().status, Status::served);
+  for (std::size_t i = 0; i < before.size(); ++i) EXPECT_GT(before[i] = fleet.requests_at(i), 0U);
+  while (client.counts().rests == 0) std::this_thread::sleep_for(1ms);
+  while (fleet.watches() > 0) std::this_thread::sleep_for(1ms);
+  EXPECT_EQ(client.counts().connections, 0U);
+  std::this_thread::sleep_for(1'500ms);  // what the engine still looked at once a second has come
+  const std::uint64_t woken = client.counts().wakeups;
+  std::this_thread::sleep_for(1'500ms);
+  EXPECT_LE(client.counts().wakeups - woken, 1U);  // the asking itself
+  // A server leaves while nobody here hears of it.
+  fleet.tell_leaves(1);
+  before[1] = fleet.requests_at(1);
+  for (int i = 0; i < 60; ++i) ASSERT_EQ(client.get("k" + std::to_string(i)).get().status, Status::served);
+  EXPECT_EQ(fleet.requests_at(1), before[1]);
+  EXPECT_GE(client.counts().rests, 1U);
+}
+
+TEST(PluginClient, ThatRestsBetweenEachTwoCallsStillEndsEachOnceAndInTime) {
+  StandinFleet fleet;
+  ClientSettings settings = fleet.settings;
+  settings.rest_after = 5ms;
+  Client client(settings);
+  Ends ends(40);
+  for (std::size_t i = 0; i < 40; ++i) {
+    client.get("k" + std::to_string(i), {}, ends.of(i));
+    std::this_thread::sleep_for(std::chrono::milliseconds(i % 4 * 5));
+  }
+  EXPECT_TRUE(client.drain(10s));
+  while (!ends.each_once()) std::this_thread::sleep_for(1ms);
+  EXPECT_EQ(ends.count(Status::served), 40);
+  EXPECT_GT(client.counts().rests, 5U);
+}
+
 }  // namespace
 }  // namespace streampick::test
--- a/tests/plugin/fleet.h
+++ b/tests/plugin/fleet.h
@@ -24,7 +24,6 @@
  public:
   explicit StandinFleet(std::size_t caches = 3, std::chrono::milliseconds delay = {},
                         std::string value = "tile") {
-    std::vector<standin::PlatformMember> members;
     for (std::size_t i = 0; i <= caches; ++i) {
       servers.push_back(std::make_unique<standin::HttpCache>(io_, value));
       servers.back()->delay = delay;
@@ -59,11 +58,29 @@
     });
     return all;
   }
+  // Tells the watches that this server goes.
+  void tell_leaves(std::size_t server) {
+    on([&] {
+      members.at(server).phase = "terminating";
+      discovery_->change(members);
+    });
+  }
+  std::size_t watches() {
+    std::size_t all = 0;
+    on([&] { all = discovery_->watches(); });
+    return all;
+  }
+  std::uint64_t requests_at(std::size_t server) {
+    std::uint64_t all = 0;
+    on([&] { all = servers.at(server)->requests; });
+    return all;
+  }
   void delay(std::chrono::milliseconds time) {
     for (const auto& server : servers) server->delay = time;
   }
 
   ClientSettings settings;
+  std::vector<standin::PlatformMember> members;
   std::vector<std::unique_ptr<standin::HttpCache>> servers;  // the last is the origin
 
  private:
--- a/tests/plugin/host_main.cpp
+++ b/tests/plugin/host_main.cpp
@@ -1,36 +1,85 @@
-// A host process for the pause tests: CONFIG CALLS DEADLINE_MS; tells on descriptor 3 that its calls are out,
-// and in the end what became of them.
+// A host process for the tests that stop it: CONFIG CALLS DEADLINE_MS [MODE]; tells on descriptor 3 that its
+// calls are out, and in the end what became of them. Modes:
+//   saves    every other call is a save
+//   drain    it drains its client once its calls are out, for as long as their deadline
+//   again    it reads as many keys once more after the first are back, one after another
+//   nofile   it may open no descriptor while its calls begin
+//   exit     it ends without drain, without destructor, with its calls out
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <cstdlib>
+#include <string>
 #include <thread>
 #include <vector>
 
 #include "report.h"
 #include "streampick/client.h"
 
-int main(int, char** argv) {
-  using namespace streampick;
+namespace {
+
+using namespace streampick;
+
+// No descriptor beyond those that are open.
+struct NoDescriptors {
+  NoDescriptors() {
+    ::getrlimit(RLIMIT_NOFILE, &before);
+    const int next = ::dup(0);
+    ::close(next);
+    rlimit none = before;
+    none.rlim_cur = static_cast<rlim_t>(next);
+    ::setrlimit(RLIMIT_NOFILE, &none);
+  }
+  ~NoDescriptors() { ::setrlimit(RLIMIT_NOFILE, &before); }
+  rlimit before{};
+};
+
+void count(test::Report& report, const Result& result) {
+  ++report.ends;
+  report.served += result.status == Status::served ? 1 : 0;
+  report.refused += result.status == Status::refused ? 1 : 0;
+  report.failed += result.status == Status::failed ? 1 : 0;
+  report.withdrawn += result.status == Status::withdrawn ? 1 : 0;
+  report.late += result.late ? 1 : 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const std::string mode = argc > 4 ? argv[4] : "";
+  const int calls = std::atoi(argv[2]);
+  const std::chrono::milliseconds deadline(std::atoi(argv[3]));
   test::Report report;
   {
     ClientSettings settings;
     settings.config_path = argv[1];
     Client client(settings);
+    const auto ask = [&](int i) {
+      const std::string key = "k" + std::to_string(i);
+      return mode == "saves" && i % 2 == 1 ? client.put(key, "mark", {.deadline = deadline})
+                                           : client.get(key, {.deadline = deadline});
+    };
     std::vector<std::future<Result>> open;
-    for (int i = 0; i < std::atoi(argv[2]); ++i)
-      open.push_back(
-          client.get("k" + std::to_string(i), {.deadline = std::chrono::milliseconds(std::atoi(argv[3]))}));
-    while (client.counts().attempts < 1) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    if (mode == "nofile") {
+      while (client.counts().servers == 0) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));  // its watch is up
+      const NoDescriptors none;
+      for (int i = 0; i < calls; ++i) count(report, ask(i).get());
+    } else {
+      for (int i = 0; i < calls; ++i) open.push_back(ask(i));
+      while (client.counts().attempts < 1) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
     const char ready = 1;
     if (::write(3, &ready, 1) != 1) return 1;
-    for (auto& call : open) {
-      const Result result = call.get();
-      ++report.ends;
-      report.served += result.status == Status::served ? 1 : 0;
-      report.refused += result.status == Status::refused ? 1 : 0;
-      report.failed += result.status == Status::failed ? 1 : 0;
-      report.late += result.late ? 1 : 0;
+    if (mode == "exit") {
+      char go = 0;
+      (void)!::read(0, &go, 1);  // until the test has seen its calls out
+      ::_exit(0);
     }
+    if (mode == "drain") report.drained = client.drain(deadline) ? 1 : 0;
+    for (auto& call : open) count(report, call.get());
+    if (mode == "again" || mode == "nofile")
+      for (int i = 0; i < calls; ++i) count(report, ask(i).get());
     const ClientCounts counts = client.counts();
     report.attempts = counts.attempts;
     report.pauses = counts.pauses;
--- a/tests/plugin/pause_test.cpp
+++ b/tests/plugin/pause_test.cpp
@@ -21,7 +21,8 @@
 // became of them. Nothing but exec stands between fork and the new program.
 class Host {
  public:
-  Host(const ClientSettings& settings, int calls, std::chrono::milliseconds deadline)
+  Host(const ClientSettings& settings, int calls, std::chrono::milliseconds deadline,
+       const std::string& mode = "")
       : path_(std::filesystem::temp_directory_path() /
               ("streampick-host-" + std::to_string(::getpid()) + ".json")) {
     std::ofstream(path_) << settings.config;
@@ -33,7 +34,7 @@
     if (child_ == 0) {
       ::dup2(out[1], 3);
       ::execl(STREAMPICK_PLUGIN_HOST, STREAMPICK_PLUGIN_HOST, path.c_str(), many.c_str(), limit.c_str(),
-              nullptr);
+              mode.c_str(), nullptr);
       ::_exit(9);
     }
     ::close(out[1]);
@@ -45,13 +46,19 @@
     ::close(in_);
     std::filesystem::remove(path_);
   }
-  void stop_for(std::chrono::milliseconds time) {
+  void stop_for(std::chrono::milliseconds time, const std::function<void()>& meanwhile = {}) {
     ::kill(child_, SIGSTOP);
     int status = 0;
     ::waitpid(child_, &status, WUNTRACED);
+    if (meanwhile) meanwhile();
     std::this_thread::sleep_for(time);
     ::kill(child_, SIGCONT);
   }
+  void kill_it() {
+    ::kill(child_, SIGKILL);
+    int status = 0;
+    ::waitpid(child_, &status, 0);
+  }
   Report report() {
     Report out;
     if (::read(in_, &out, sizeof out) != sizeof out) ADD_FAILURE() << "the host said nothing";
@@ -101,5 +108,67 @@
   EXPECT_EQ(report.attempts, 4U);
 }
 
+TEST(PluginPause, AfterTwentySecondsReadsAndSavesHaveFailedOnceAndNoSaveWasCarriedOutAgain) {
+  StandinFleet fleet(3, 500ms);
+  Host host(fleet.settings, 8, 3'000ms, "saves");
+  while (fleet.requests() < 8) std::this_thread::sleep_for(1ms);
+  const std::uint64_t before = fleet.requests();
+  host.stop_for(20'000ms);
+  const Report report = host.report();
+  EXPECT_EQ(report.ends, 8);
+  EXPECT_EQ(report.failed, 8);
+  EXPECT_EQ(report.late, 8);
+  EXPECT_GE(report.pauses, 1U);
+  EXPECT_EQ(fleet.requests(), before);  // for what is over nothing is sent
+}
+
+TEST(PluginPause, AServerThatWasToldToGoMeanwhileGetsNothingNew) {
+  StandinFleet fleet(3, 300ms);
+  Host host(fleet.settings, 8, 4'000ms, "again");
+  while (fleet.requests() < 8) std::this_thread::sleep_for(1ms);
+  std::uint64_t before = 0;
+  host.stop_for(3'000ms, [&] {
+    before = fleet.requests_at(0);
+    EXPECT_GT(before, 0U);
+    fleet.tell_leaves(0);
+    fleet.delay(2ms);
+  });
+  const Report report = host.report();
+  EXPECT_EQ(report.ends, 16);
+  EXPECT_EQ(report.served, 16);
+  EXPECT_EQ(fleet.requests_at(0), before);
+}
+
+TEST(PluginPause, ADrainThatIsStoppedEndsEachCallOnceAndInItsTime) {
+  StandinFleet fleet(3, 500ms);
+  Host host(fleet.settings, 6, 2'000ms, "drain");
+  while (fleet.requests() < 6) std::this_thread::sleep_for(1ms);
+  host.stop_for(3'000ms);
+  const Report report = host.report();
+  EXPECT_EQ(report.ends, 6);
+  EXPECT_EQ(report.served, 0);
+  EXPECT_EQ(report.failed + report.withdrawn, 6);
+}
+
+TEST(PluginHost, ThatEndsWithoutADrainLeavesNoConnectionOpen) {
+  StandinFleet fleet(3, 5'000ms);
+  Host host(fleet.settings, 6, 4'000ms);
+  while (fleet.requests() < 6) std::this_thread::sleep_for(1ms);
+  EXPECT_EQ(fleet.watches(), 1U);
+  host.kill_it();
+  for (int i = 0; i < 2'000 && fleet.watches() > 0; ++i) std::this_thread::sleep_for(1ms);
+  EXPECT_EQ(fleet.watches(), 0U);
+  EXPECT_LE(fleet.requests(), 12U);  // nothing was sent for it any more
+}
+
+TEST(PluginHost, WithoutADescriptorLeftAnswersEachCallAndGoesOnOnceItHasSomeAgain) {
+  StandinFleet fleet(3, 2ms);
+  Host host(fleet.settings, 6, 1'500ms, "nofile");
+  const Report report = host.report();
+  EXPECT_EQ(report.ends, 12);
+  EXPECT_EQ(report.served, 6);
+  EXPECT_EQ(report.refused + report.failed, 6);
+}
+
 }  // namespace
 }  // namespace streampick::test
