--- a/cmake/grpc.cmake
+++ b/cmake/grpc.cmake
@@ -25,6 +25,14 @@
   $<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}/include> $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>)
 target_include_directories(streampick_grpc SYSTEM PUBLIC
   $<BUILD_INTERFACE:${CMAKE_CURRENT_BINARY_DIR}/proto>)
+
+# Installed beside the client library, with route.proto for services that annotate their methods and what protoc
+# made of it: `streampick_add_grpc_service` in streampick-config.cmake compiles such a service.
+install(TARGETS streampick_grpc EXPORT streampick-grpc-targets)
+install(EXPORT streampick-grpc-targets NAMESPACE streampick:: DESTINATION ${CMAKE_INSTALL_LIBDIR}/cmake/streampick)
+install(FILES proto/streampick/route.proto DESTINATION ${CMAKE_INSTALL_DATADIR}/streampick/proto/streampick)
+install(FILES ${CMAKE_CURRENT_BINARY_DIR}/proto/streampick/route.pb.h
+  DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}/streampick)
 target_include_directories(streampick_grpc PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
 target_link_libraries(streampick_grpc PUBLIC streampick_client gRPC::grpc++ protobuf::libprotobuf
   PRIVATE streampick_options)
--- a/include/streampick/client.h
+++ b/include/streampick/client.h
@@ -125,7 +125,8 @@
   Awaitable async_put(std::string_view key, std::string_view value);
   Awaitable async_put(std::string_view key, std::string_view value, const CallOptions& options);
 
-  // Takes no more calls, waits for the open ones and then withdraws what is left. Returns whether none was.
+  // Takes no more calls, waits until the open ones have ended and their callbacks have returned, and then
+  // withdraws what is left. Returns whether none was.
   // Not to be called from within a callback.
   bool drain(std::chrono::microseconds longest);
   ClientCounts counts() const;
--- a/src/plugin/client.cpp
+++ b/src/plugin/client.cpp
@@ -264,14 +264,23 @@
     }
   }
   void deliver(const std::shared_ptr<CallState>& call, Result result) {
-    auto run = [self = shared_from_this(), callback = std::exchange(call->callback, nullptr),
-                result = std::make_shared<Result>(std::move(result))] {
+    ++telling;
+    struct Told {
+      Client::Callback callback;
+      Result result;
+    };
+    auto run = [self = shared_from_this(),
+                told = std::make_shared<Told>(std::exchange(call->callback, nullptr), std::move(result))] {
       try {
-        callback(std::move(*result));
+        told->callback(std::move(told->result));
       } catch (...) {
         // Whose fault it is can't be told from here; the others' calls go on.
         ++self->counts.threw;
       }
+      told->callback = nullptr;  // with all it held
+      if (--self->telling > 0) return;
+      const std::lock_guard lock(self->mutex);
+      self->idle.notify_all();
     };
     if (call->inline_callback) return run();
     if (own.run_callback) return own.run_callback(std::move(run));
@@ -310,8 +319,8 @@
         absent{0}, threw{0};
   } counts;
   std::atomic<std::uint64_t> wakeups{0}, pauses{0}, rests{0};
-  std::atomic<std::size_t> open_calls{0};
-  std::atomic<bool> refusing{false};  // drained, or about to be
+  std::atomic<std::size_t> open_calls{0}, telling{0};  // telling: callbacks that wait, or run
+  std::atomic<bool> refusing{false};                   // drained, or about to be
   const pid_t pid = ::getpid();
   std::mutex mutex;
   std::condition_variable idle;
@@ -423,9 +432,10 @@
 bool Client::drain(std::chrono::microseconds longest) {
   impl_->refusing = true;
   std::unique_lock lock(impl_->mutex);
-  const bool all = impl_->idle.wait_for(lock, longest, [&] { return impl_->open_calls == 0; });
+  const bool all =
+      impl_->idle.wait_for(lock, longest, [&] { return impl_->open_calls == 0 && impl_->telling == 0; });
   lock.unlock();
-  if (all) return true;
+  if (all || impl_->open_calls == 0) return true;
   // Withdrawn, each told once.
   std::promise<void> ended;
   asio::post(impl_->io, [impl = impl_.get(), &ended] {
--- a/tests/plugin/client_test.cpp
+++ b/tests/plugin/client_test.cpp
@@ -172,6 +172,19 @@
   EXPECT_EQ(ends.count(Status::withdrawn), 2);
 }
 
+TEST(PluginClient, ADrainWaitsForTheCallbacksToo) {
+  StandinFleet fleet;
+  Client client(fleet.settings);
+  std::atomic<int> ran{0};
+  for (int i = 0; i < 8; ++i)
+    client.get("k" + std::to_string(i), {}, [&](const Result&) {
+      std::this_thread::sleep_for(50ms);
+      ++ran;
+    });
+  EXPECT_TRUE(client.drain(10s));
+  EXPECT_EQ(ran, 8);
+}
+
 TEST(PluginClient, WhatIsOpenWhenTheClientEndsIsWithdrawn) {
   StandinFleet fleet(2, 5s);
   Ends ends(20);
