--- a/src/roster/members.cpp
+++ b/src/roster/members.cpp
@@ -11,6 +11,8 @@
 // 0 stays 0, which means long ago.
 Time unix_ms(std::int64_t ms) { return ms <= 0 ? 0 : ms * 1000; }
 
+}  // namespace
+
 Listed parse_member(const JsonValue& entry, const Names& names) {
   const char* const phases = "in_service, terminating or terminated";
   const char* const address = "an address and a port, as 10.1.0.18:3000";
@@ -42,8 +44,6 @@
   return out;
 }
 
-}  // namespace
-
 MemberList parse_members(const JsonValue& list, const Names& names) {
   MemberList out;
   out.revision = list.at("revision", "a whole number").whole(0, std::numeric_limits<std::uint64_t>::max());
--- a/src/roster/members.h
+++ b/src/roster/members.h
@@ -9,7 +9,8 @@
 
 namespace streampick::node {
 
-// Throws JsonError.
+// All throw JsonError.
+Listed parse_member(const JsonValue& entry, const Names& names);
 MemberList parse_members(const JsonValue& list, const Names& names);
 MemberList parse_members(const std::string& json, const Names& names);
 
--- /dev/null
+++ b/tests/roster/etcd/history_test.cpp
@@ -0,0 +1,326 @@
+// The watcher against histories drawn from a seed: puts, deletes, transactions, leases, compactions,
+// restores, another cluster; streams that drop in the middle of a transaction, repeat, fall silent; endpoints
+// that lag. What watcher.h promises is checked at every publication.
+#include "standin/etcd/history.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <queue>
+#include <set>
+
+#include "roster/etcd/watcher.h"
+
+namespace streampick::etcd {
+namespace {
+
+constexpr Time kMs = 1'000;
+constexpr std::size_t kEndpoints = 3;
+
+class World final : public WatcherActions {
+ public:
+  explicit World(std::uint64_t seed) : seed_(seed), random_(static_cast<unsigned>(seed * 2654435761U + 1)) {
+    WatcherSettings settings;
+    settings.endpoints = kEndpoints;
+    settings.page = 1 + draw(7);
+    watcher_.emplace(settings, seed, *this);
+    for (unsigned i = 0, many = 2 + draw(10); i < many; ++i) {
+      history_.put(key(i), "v");
+      remember();
+    }
+  }
+
+  void run(bool changes_history) {
+    watcher_->start(now_);
+    const Time calm = now_ + 60'000 * kMs, end = calm + 40'000 * kMs;
+    for (Time change = now_; now_ < end && !::testing::Test::HasFailure();) {
+      const Time next = std::min({events_.empty() ? kNever : events_.top().at, watcher_->next_time(),
+                                  now_ < calm ? change : kNever, end});
+      now_ = std::max(now_, next);
+      if (!events_.empty() && events_.top().at <= now_) {
+        const auto what = events_.top().what;
+        events_.pop();
+        what();
+      } else if (now_ >= watcher_->next_time()) {
+        watcher_->on_time(now_);
+      } else if (now_ < calm && now_ >= change) {
+        happens(changes_history);
+        change = now_ + 1 + draw(400) * kMs;
+      }
+      trouble_ = now_ < calm;
+      if (!trouble_) away_ = {};
+    }
+    // In calm it has caught up, wherever it was.
+    EXPECT_EQ(state_at(), plain(history_.now())) << told();
+    EXPECT_EQ(watcher_->revision(), history_.revision()) << told();
+    EXPECT_EQ(watcher_->knowledge().state, Knowledge::State::fresh) << told();
+    EXPECT_EQ(departed_.size(), departures_) << told();
+    // Each incarnation that was published and is not there any more was published as departed.
+    for (const auto& [incarnation, epoch] : present_)
+      EXPECT_TRUE(departed_.contains(incarnation) || epoch != watcher_->epoch() ||
+                  alive(std::get<1>(incarnation), std::get<2>(incarnation)))
+          << told() << std::get<1>(incarnation);
+  }
+  const Watcher::Counts& counts() const { return watcher_->counts(); }
+
+  // ---- What the watcher does
+
+  void range(std::uint64_t turn, std::size_t endpoint, const std::string& from_key, std::int64_t revision,
+             std::size_t limit) override {
+    listing_ = turn;
+    if (away(endpoint)) return;
+    // A member that lags answers from before: no linearizable read does, but what passes for one may.
+    const std::int64_t behind = lags_ == endpoint && trouble_ ? 3 : 0;
+    later(1 + draw(30) * kMs, [this, turn, from_key, revision, limit, behind] {
+      if (turn != listing_) return;
+      const std::int64_t newest = std::max(history_.compacted(), history_.revision() - behind);
+      const std::int64_t at = revision > 0 ? revision : newest;
+      if (at < history_.compacted() || at > history_.revision())
+        return watcher_->range_failed(now_, turn, "compacted", true);
+      if (chance(20)) return watcher_->range_failed(now_, turn, "unavailable");
+      std::vector<KeyValue> page;
+      const auto state = history_.state(at);
+      auto it = state.lower_bound(from_key);
+      for (; it != state.end() && page.size() < limit; ++it) page.push_back(it->second);
+      watcher_->page(now_, turn, {history_.cluster_id, from_key.empty() ? at : history_.revision()}, page,
+                     it != state.end());
+    });
+  }
+  void watch(std::uint64_t turn, std::size_t endpoint, std::int64_t from_revision) override {
+    // From what was seen, and never from now.
+    EXPECT_EQ(from_revision, watcher_->revision() + 1) << told();
+    stream_ = turn;
+    stream_live_ = false;  // until it is created
+    sent_ = from_revision - 1;
+    silent_ = away(endpoint);
+    if (silent_) return;
+    later(1 + draw(20) * kMs, [this, turn, from_revision] {
+      if (turn != stream_) return;
+      watcher_->created(now_, turn, {history_.cluster_id, history_.revision()});
+      if (from_revision <= history_.compacted()) {
+        later(kMs, [this, turn] {
+          if (turn == stream_) watcher_->cancelled(now_, turn, "compacted", history_.compacted());
+        });
+        stream_live_ = false;
+        return;
+      }
+      stream_live_ = true;
+      deliver();
+    });
+  }
+  void ask_progress(std::uint64_t turn) override {
+    if (turn != stream_ || silent_ || !stream_live_) return;
+    later(1 + draw(10) * kMs, [this, turn] {
+      if (turn != stream_ || silent_ || !stream_live_) return;
+      deliver();
+      if (turn == stream_ && sent_ == history_.revision())
+        watcher_->progress(now_, turn, {history_.cluster_id, history_.revision()});
+    });
+  }
+  void drop(std::uint64_t turn) override {
+    if (turn == stream_) stream_ = 0;
+    if (turn == listing_) listing_ = 0;
+  }
+  void publish(const Publication& publication) override {
+    ++publications_;
+    if (publication.epoch == epoch_) {
+      EXPECT_GE(publication.revision, revision_) << told();
+    } else {
+      EXPECT_GT(publication.epoch, epoch_) << told();
+    }
+    epoch_ = publication.epoch;
+    revision_ = publication.revision;
+    for (const Departure& departure : publication.departed) {
+      const auto which = std::make_tuple(history_of(departure), departure.key, departure.create_revision);
+      EXPECT_TRUE(present_.contains(which)) << told() << departure.key << " was never told as there";
+      EXPECT_TRUE(departed_.insert(which).second) << told() << departure.key << " departed twice";
+      ++departures_;
+      told_.erase(departure.key);
+    }
+    if (publication.complete) told_.clear();
+    for (const KeyValue& kv : publication.puts) {
+      told_[kv.key] = kv;
+      present_[{publication.epoch, kv.key, kv.create_revision}] = publication.epoch;
+    }
+    // The fold of the history up to there.
+    const auto found = states_.find({history_number_, publication.revision});
+    const auto before = states_.find({history_number_ - 1, publication.revision});
+    const auto folded = plain(told_);
+    EXPECT_TRUE((found != states_.end() && found->second == folded) ||
+                (before != states_.end() && before->second == folded))
+        << told() << "at revision " << publication.revision;
+  }
+  void knowledge(const Knowledge&) override {}
+  void said(const std::string&) override {}
+
+ private:
+  using Plain = std::map<std::string, std::pair<std::string, std::int64_t>>;
+  static Plain plain(const std::map<std::string, KeyValue>& all) {
+    Plain out;
+    for (const auto& [key, kv] : all) out[key] = {kv.value, kv.mod_revision};
+    return out;
+  }
+  Plain state_at() const { return plain(told_); }
+  // Where an incarnation was published: in this epoch, or in one before it whose values stayed.
+  std::uint64_t history_of(const Departure& departure) const {
+    for (std::uint64_t epoch = epoch_; epoch > 0; --epoch)
+      if (present_.contains({epoch, departure.key, departure.create_revision})) return epoch;
+    return 0;
+  }
+  bool alive(const std::string& key, std::int64_t create_revision) const {
+    const auto found = history_.now().find(key);
+    return found != history_.now().end() && found->second.create_revision == create_revision;
+  }
+  std::string told() const { return "seed " + std::to_string(seed_) + ": "; }
+  static std::string key(unsigned i) { return "/caches/c-" + std::to_string(i); }
+  unsigned draw(unsigned most) { return static_cast<unsigned>(random_() % most); }
+  bool chance(unsigned per_thousand) { return trouble_ && draw(1'000) < per_thousand; }
+  bool away(std::size_t endpoint) { return trouble_ && (away_.contains(endpoint) || draw(1'000) < 20); }
+  void later(Time by, std::function<void()> what) { events_.push({now_ + by, ++number_, std::move(what)}); }
+
+  void remember() { states_[{history_number_, history_.revision()}] = plain(history_.now()); }
+  void happens(bool changes_history) {
+    // A history that went back and has caught up again can't be told from the one before: it waits.
+    if (frozen_in_ == watcher_->epoch()) return;
+    switch (draw(changes_history ? 13 : 12)) {
+      case 0: history_.remove(key(draw(12))); break;
+      case 1: {  // a transaction, perhaps of one that goes and one that comes
+        std::vector<standin::EtcdHistory::Change> all;
+        for (unsigned i = 0, many = 2 + draw(5); i < many; ++i) {
+          const std::string which = key(draw(12));
+          bool twice = false;
+          for (const auto& change : all) twice = twice || change.key == which;
+          if (twice) continue;
+          if (draw(2) == 0) {
+            all.push_back({which, std::nullopt, 0});
+          } else {
+            all.push_back({which, std::to_string(draw(50)), 0});
+          }
+        }
+        history_.commit(all);
+        break;
+      }
+      case 2: {  // there and back within a moment
+        const std::string which = key(draw(12));
+        history_.remove(which);
+        remember();
+        history_.put(which, "again");
+        break;
+      }
+      case 3: history_.compact(history_.revision() - draw(4)); break;
+      case 4: history_.end_lease(7); break;
+      case 5: history_.put(key(draw(12)), "leased", 7); break;
+      case 6: away_.insert(draw(kEndpoints)); break;
+      case 7: away_.clear(); break;
+      case 8: silent_ = true; break;  // half open: nothing comes, nobody says so
+      case 9:
+        if (stream_ != 0) watcher_->broken(now_, stream_, "reset");
+        break;
+      case 10: lags_ = draw(kEndpoints + 1); break;
+      case 12:
+        if (now_ < next_history_) break;
+        next_history_ = now_ + 25'000 * kMs;
+        stream_live_ = false;
+        stream_ = listing_ = 0;
+        ++history_number_;
+        if (draw(2) == 0) {
+          history_.cluster_id += 1;
+        } else if (history_.revision() > history_.compacted() + 2) {
+          history_.restore(history_.compacted() + 1);
+          frozen_in_ = watcher_->epoch();
+        }
+        if (frozen_in_ != watcher_->epoch())
+          history_.put(key(draw(12)), "of another history " + std::to_string(history_number_));
+        for (std::int64_t at = std::max<std::int64_t>(1, history_.compacted()); at <= history_.revision();
+             ++at)
+          states_[{history_number_, at}] = plain(history_.state(at));
+        break;
+      default: history_.put(key(draw(12)), std::to_string(draw(50))); break;
+    }
+    remember();
+    if (stream_live_) later(draw(40) * kMs, [this] { deliver(); });
+  }
+  // What the stream has not had yet, in whole or in parts, once or twice, up to its end or to a break.
+  void deliver() {
+    if (stream_ == 0 || silent_ || !stream_live_ || sent_ >= history_.revision()) return;
+    const std::uint64_t turn = stream_;
+    if (sent_ < history_.compacted()) {  // it fell behind
+      stream_live_ = false;
+      return watcher_->cancelled(now_, turn, "compacted", history_.compacted());
+    }
+    const std::int64_t from = chance(50) ? std::max(history_.compacted() + 1, sent_ - 1) : sent_ + 1;
+    const std::vector<Event> all = history_.events(from, history_.revision());
+    sent_ = history_.revision();
+    const Header header{history_.cluster_id, history_.revision()};
+    if (chance(300)) {
+      // In fragments, which may break off.
+      for (std::size_t i = 0; i < all.size(); ++i) {
+        if (chance(60)) return watcher_->broken(now_, turn, "in the middle");
+        watcher_->events(now_, turn, header, {all[i]}, i + 1 < all.size());
+        if (turn != stream_) return;
+      }
+      return;
+    }
+    watcher_->events(now_, turn, header, all, false);
+    if (chance(30) && turn == stream_) watcher_->broken(now_, turn, "after");
+  }
+
+  struct Due {
+    Time at;
+    std::uint64_t number;
+    std::function<void()> what;
+    bool operator>(const Due& other) const { return std::tie(at, number) > std::tie(other.at, other.number); }
+  };
+  std::uint64_t seed_;
+  std::mt19937 random_;
+  Time now_ = 1'000'000'000, next_history_ = 0;
+  standin::EtcdHistory history_;
+  std::uint64_t history_number_ = 1, frozen_in_ = UINT64_MAX;
+  std::map<std::pair<std::uint64_t, std::int64_t>, Plain> states_;
+  std::optional<Watcher> watcher_;
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> events_;
+  std::uint64_t number_ = 0, stream_ = 0, listing_ = 0, epoch_ = 0, publications_ = 0;
+  std::int64_t sent_ = 0, revision_ = 0;
+  bool trouble_ = true, silent_ = false, stream_live_ = false;
+  std::set<std::size_t> away_;
+  std::size_t lags_ = kEndpoints;
+  std::map<std::string, KeyValue> told_;
+  std::map<std::tuple<std::uint64_t, std::string, std::int64_t>, std::uint64_t> present_;
+  std::set<std::tuple<std::uint64_t, std::string, std::int64_t>> departed_;
+  std::size_t departures_ = 0;
+};
+
+TEST(EtcdHistories, AThousandSeedsKeepWhatTheWatcherPromises) {
+  Watcher::Counts all;
+  for (std::uint64_t seed = 1; seed <= 1'000 && !HasFailure(); ++seed) {
+    World world(seed);
+    world.run(false);
+    const Watcher::Counts& counts = world.counts();
+    all.compactions += counts.compactions;
+    all.resumed += counts.resumed;
+    all.repeated += counts.repeated;
+    all.departures += counts.departures;
+    all.suspects += counts.suspects;
+    all.epochs += counts.epochs;
+  }
+  // The troubles were had.
+  EXPECT_GT(all.compactions, 500U);
+  EXPECT_GT(all.resumed, 1'000U);
+  EXPECT_GT(all.repeated, 500U);
+  EXPECT_GT(all.departures, 10'000U);
+  EXPECT_GT(all.suspects, 20U);
+  EXPECT_EQ(all.epochs, 1'000U);  // one each: nothing that lags passes for another history
+}
+
+TEST(EtcdHistories, AnotherClusterOrAnOlderBackupIsTakenOnceItIsSure) {
+  std::uint64_t epochs = 0;
+  for (std::uint64_t seed = 1; seed <= 200 && !HasFailure(); ++seed) {
+    World world(seed);
+    world.run(true);
+    epochs += world.counts().epochs;
+  }
+  EXPECT_GT(epochs, 250U);
+}
+
+}  // namespace
+}  // namespace streampick::etcd
