--- a/src/roster/etcd/watcher.cpp
+++ b/src/roster/etcd/watcher.cpp
@@ -97,9 +97,10 @@
   if (suspect_.kind != kind) return false;
   const Listing& before = suspect_.listing;
   if (listing.cluster_id != before.cluster_id || listing.revision < before.revision) return false;
+  const std::size_t before_endpoints = suspect_.endpoints.size() - suspect_.endpoints.count(endpoint_);
   if (kind == Suspicion::history)
     // A member that lags, or belongs to another cluster, must not pass for all of them.
-    return suspect_.seen + 1 >= std::max<std::size_t>(2, settings_.endpoints) &&
+    return 2 * (before_endpoints + 1) > settings_.endpoints &&
            now - suspect_.since >= settings_.confirm_history;
   // The same keys are gone in both.
   return std::all_of(published_.begin(), published_.end(), [&](const auto& one) {
@@ -111,7 +112,9 @@
   ++counts_.suspects;
   const bool goes_on = suspect_.kind == kind && suspect_.listing.cluster_id == reading_.cluster_id &&
                        reading_.revision >= suspect_.listing.revision;
-  suspect_ = {kind, std::move(reading_), goes_on ? suspect_.since : now, goes_on ? suspect_.seen + 1 : 1};
+  if (!goes_on) suspect_ = {kind, {}, now};
+  suspect_.listing = std::move(reading_);
+  suspect_.endpoints.insert(endpoint_);
   reading_ = {};
   if (!goes_on) {
     const std::string what =
--- a/src/roster/etcd/watcher.h
+++ b/src/roster/etcd/watcher.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -65,11 +66,12 @@
   Time silence = 1'000'000;              // without a word after which progress is asked for
   Time fresh_for = 4'000'000;            // after which what is not confirmed counts as stale
   Time backoff_first = 100'000, backoff_most = 3'000'000;
-  Time spread = 300'000;             // a listing after a compaction waits up to this, at random
-  double least_share = 0.5;          // of the keys: a listing with fewer is suspect
-  Time confirm_share = 100'000;      // after which a suspect listing is read again
-  Time apply_share = 1'000'000;      // after which it is applied though it could not be read again
-  Time confirm_history = 5'000'000;  // for which another cluster id, or older revisions, must be seen
+  Time spread = 300'000;         // a listing after a compaction waits up to this, at random
+  double least_share = 0.5;      // of the keys: a listing with fewer is suspect
+  Time confirm_share = 100'000;  // after which a suspect listing is read again
+  Time apply_share = 1'000'000;  // after which it is applied though it could not be read again
+  // For so long another cluster id, or older revisions, must be seen, and by most of the endpoints.
+  Time confirm_history = 5'000'000;
 };
 
 class WatcherActions {
@@ -134,7 +136,7 @@
     Suspicion kind = Suspicion::none;
     Listing listing;
     Time since = 0;
-    std::size_t seen = 0;
+    std::set<std::size_t> endpoints = {};  // that showed it
   };
 
   void attempt(Time now);
--- a/tests/roster/etcd/watcher_test.cpp
+++ b/tests/roster/etcd/watcher_test.cpp
@@ -246,6 +246,29 @@
   EXPECT_EQ(actions.published.back().revision, 500);
 }
 
+TEST_F(EtcdWatcher, OneOfTwoEndpointsIsNotBelievedThoughTheOtherIsSilentForGood) {
+  set_up({kv("a", 3)}, 40);
+  watcher->broken(now, stream(), "reset");
+  const Time first = now;
+  std::size_t answered = 0, ranges = actions.ranges.size(), watches = actions.watches.size();
+  while (now - first < 120'000 * kMs) {
+    now = std::max(now, watcher->next_time());
+    watcher->on_time(now);
+    if (actions.watches.size() > watches && actions.watches.back().endpoint == 0)
+      watcher->created(now, stream(), {99, 500});
+    watches = actions.watches.size();
+    if (actions.ranges.size() > ranges && actions.ranges.back().endpoint == 0) {
+      ranges = actions.ranges.size();
+      ++answered;
+      watcher->page(now, actions.ranges.back().turn, {99, 500}, {kv("x", 2)}, false);
+    }
+    ranges = actions.ranges.size();
+  }
+  EXPECT_GT(answered, 5U);
+  EXPECT_EQ(watcher->epoch(), 1U);
+  EXPECT_TRUE(departed().empty());
+}
+
 TEST_F(EtcdWatcher, AListingWithoutEndAndOneThatContradictsItselfAreGivenUp) {
   settings.most_keys = 3;
   watcher.emplace(settings, 1, actions);
--- /dev/null
+++ b/tests/roster/sources_test.cpp
@@ -0,0 +1,179 @@
+// Two sources of one roster; what waits between two threads; the seed file's text.
+#include "roster/sources.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "roster/etcd/seed.h"
+#include "roster/mailbox.h"
+
+namespace streampick::roster {
+namespace {
+
+node::Listed server(const std::string& id, Phase phase = Phase::ready, const std::string& address = "") {
+  node::Listed out{id, address.empty() ? "127.0.0.1:1" : address, {}};
+  out.member.identity = hash_name(id);
+  out.member.phase = phase;
+  return out;
+}
+node::MemberList list(bool complete, std::vector<node::Listed> members) {
+  node::MemberList out;
+  out.revision = 1;
+  out.complete = complete;
+  out.members = std::move(members);
+  return out;
+}
+
+// Keeps what an engine would: what is there, and how.
+struct Engine final : node::ListReader {
+  void list_came(const node::MemberList& list) override {
+    if (list.complete) {
+      std::map<std::string, node::Listed> whole;
+      for (const auto& one : list.members) whole[one.id] = one;
+      for (const auto& [id, one] : there) vanished += whole.contains(id) ? 0 : 1;
+      there = std::move(whole);
+      ++wholes;
+      return;
+    }
+    for (const auto& one : list.members) {
+      if (one.member.phase == Phase::gone) {
+        departures.push_back(one.id);
+        there.erase(one.id);
+      } else {
+        there[one.id] = one;
+      }
+    }
+  }
+  void list_failed() override { ++failed; }
+  std::string all() const {
+    std::string out;
+    for (const auto& [id, one] : there) out += id + (one.member.phase == Phase::draining ? "- " : " ");
+    return out;
+  }
+  std::map<std::string, node::Listed> there;
+  std::vector<std::string> departures;
+  int failed = 0, wholes = 0, vanished = 0;
+};
+
+TEST(RosterSources, ThePlatformIsUsedUntilTheSecondHasToldAllAndTheHandOverTellsDifferencesOnly) {
+  Engine engine;
+  Sources sources(engine);
+  sources.platform().list_came(list(true, {server("a"), server("b")}));
+  EXPECT_EQ(engine.all(), "a b ");
+  sources.second().list_came(list(false, {server("c")}));  // not whole yet
+  EXPECT_EQ(engine.all(), "a b ");
+  sources.second().list_came(list(true, {server("b"), server("c")}));
+  EXPECT_EQ(engine.all(), "b c ");
+  EXPECT_EQ(engine.departures, std::vector<std::string>{"a"});
+  sources.platform().list_came(list(true, {server("a"), server("b"), server("z")}));
+  EXPECT_EQ(engine.all(), "b c ");  // it leads no more
+  EXPECT_EQ(engine.vanished, 0);    // each departure is told as one
+}
+
+TEST(RosterSources, ADepartureToldByEitherCounts) {
+  Engine engine;
+  Sources sources(engine);
+  sources.platform().list_came(list(true, {server("a"), server("b"), server("c")}));
+  sources.second().list_came(list(true, {server("a"), server("b"), server("c")}));
+  sources.platform().list_came(list(false, {server("a", Phase::draining)}));
+  EXPECT_EQ(engine.all(), "a- b c ");
+  sources.platform().list_came(list(false, {server("b", Phase::gone)}));
+  EXPECT_EQ(engine.all(), "a- c ");
+  sources.second().list_came(list(false, {server("c", Phase::draining)}));
+  EXPECT_EQ(engine.all(), "a- c- ");
+  sources.second().list_came(list(false, {server("a", Phase::gone)}));
+  EXPECT_EQ(engine.all(), "c- ");
+  // A platform that says it is there again is not enough where the second leads; both are.
+  sources.platform().list_came(list(false, {server("b")}));
+  EXPECT_EQ(engine.all(), "b c- ");
+}
+
+TEST(RosterSources, OnlyTheOneThatLeadsTellsThatItsListIsOld) {
+  Engine engine;
+  Sources sources(engine);
+  sources.second().list_failed();
+  EXPECT_EQ(engine.failed, 0);
+  sources.platform().list_failed();
+  EXPECT_EQ(engine.failed, 1);
+  sources.second().list_came(list(true, {server("a")}));
+  sources.platform().list_failed();
+  EXPECT_EQ(engine.failed, 1);
+  sources.second().list_failed();
+  EXPECT_EQ(engine.failed, 2);
+}
+
+TEST(RosterMailbox, HoldsOneEntryAServerHoweverOftenItChangesAndLosesNoDeparture) {
+  Mailbox box;
+  EXPECT_TRUE(box.put(list(false, {server("a")})));
+  for (int i = 0; i < 1'000; ++i)
+    EXPECT_FALSE(box.put(list(false, {server("a", Phase::ready, "127.0.0.1:" + std::to_string(i))})));
+  EXPECT_EQ(box.size(), 1U);
+  box.put(list(false, {server("a", Phase::gone)}));
+  box.put(list(false, {server("a", Phase::ready, "127.0.0.1:7")}));
+  auto told = box.take();
+  ASSERT_EQ(told.size(), 2U);
+  EXPECT_EQ(told[0].members.at(0).member.phase, Phase::gone);
+  EXPECT_EQ(told[1].members.at(0).address, "127.0.0.1:7");
+  EXPECT_TRUE(box.empty());
+  EXPECT_TRUE(box.take().empty());
+}
+
+// What an engine knows is the same, told one by one or through a mailbox that is seldom emptied.
+TEST(RosterMailbox, WhatIsTakenAtAnyTimesEndsInTheSameRoster) {
+  for (unsigned seed = 1; seed <= 300; ++seed) {
+    std::minstd_rand random(seed);
+    Engine straight, by_box;
+    Mailbox box;
+    for (int i = 0; i < 200; ++i) {
+      node::MemberList one = list(false, {});
+      if (random() % 20 == 0) {
+        one.complete = true;
+        for (const auto& [id, listed] : straight.there) one.members.push_back(listed);
+      } else {
+        const std::string id(1, static_cast<char>('a' + random() % 8));
+        const auto phase = static_cast<Phase>(random() % 3);
+        one.members.push_back(server(id, phase, "127.0.0.1:" + std::to_string(random() % 9)));
+      }
+      straight.list_came(one);
+      box.put(one);
+      if (random() % 10 == 0)
+        for (const auto& taken : box.take()) by_box.list_came(taken);
+    }
+    for (const auto& taken : box.take()) by_box.list_came(taken);
+    EXPECT_EQ(by_box.all(), straight.all()) << seed;
+    EXPECT_EQ(by_box.vanished, 0) << seed;
+    for (const auto& [id, one] : straight.there) EXPECT_EQ(by_box.there.at(id).address, one.address) << seed;
+  }
+}
+
+TEST(EtcdSeed, IsReadAsItWasWrittenAndNotWhenItIsCutSpoiltOrOld) {
+  Names names;
+  names.zones = {"a", "b"};
+  names.kinds = {"cache"};
+  node::MemberList roster = list(true, {server("a"), server("b", Phase::draining), server("c", Phase::gone)});
+  roster.members[1].member.zone = 1;
+  roster.members[1].member.kind = 0;
+  const std::string text = etcd::encode_seed(roster, names, 1'000'000);
+  const auto read = [&](const std::string& from, long long now = 1'000'500) {
+    return etcd::decode_seed(from, names, now, 60'000);
+  };
+  const etcd::Seed seed = read(text);
+  ASSERT_TRUE(seed.list) << seed.why;
+  ASSERT_EQ(seed.list->members.size(), 2U);
+  EXPECT_EQ(seed.list->members[1].member.phase, Phase::draining);
+  EXPECT_EQ(seed.list->members[1].member.zone, 1U);
+  for (std::size_t cut = 0; cut < text.size(); ++cut) EXPECT_FALSE(read(text.substr(0, cut)).list) << cut;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    std::string spoilt = text;
+    spoilt[i] = static_cast<char>(spoilt[i] ^ 1);
+    EXPECT_FALSE(read(spoilt).list) << i;
+  }
+  EXPECT_FALSE(read(text, 1'060'001).list);
+  EXPECT_TRUE(read(text, 1'060'000).list);
+  EXPECT_TRUE(read(text, 1).list);  // the clock stepped back
+  EXPECT_EQ(read(text, 1'065'000).why, "it is 65 s old");
+}
+
+}  // namespace
+}  // namespace streampick::roster
