The roster from etcd over gRPC: a client on its own thread, a stand-in, [roster.etcd]

STREAMPICK_ETCD; without it nothing links gRPC. Range in pages at one revision, Watch with fragments and progress, several members with fail-over, tokens renewed when they expire, TLS and client certificates, keep-alive, leader required; the seed file is written whole, with fsync. The stand-in (standin/etcd) serves the published API on the project's own .proto with the same packages and numbers. Tests cause dropped watches, a compaction with departures and a return in the gap, a break within a transaction, repeats, a half-open member, unavailability, expired tokens, 1,000 changes of one key, 20,000 members, a start without etcd. The daemon under load (4 clients) with a drop, a compaction in the gap and a silent member: no departed cache had a request 2 s after we were told.

--- /dev/null
+++ b/cmake/etcd.cmake
@@ -0,0 +1,19 @@
+# The roster from etcd: its API's messages, the client on a thread of its own, and the stand-in for tests.
+include(cmake/proto.cmake)
+
+streampick_proto(streampick_etcd_rpc streampick/etcd/rpc.proto)
+streampick_proto(streampick_etcd_kv streampick/etcd/kv.proto)
+add_library(streampick_etcd_proto STATIC ${streampick_etcd_rpc} ${streampick_etcd_kv})
+target_include_directories(streampick_etcd_proto SYSTEM PUBLIC ${CMAKE_CURRENT_BINARY_DIR}/proto)
+target_link_libraries(streampick_etcd_proto PUBLIC gRPC::grpc++ protobuf::libprotobuf)
+target_compile_features(streampick_etcd_proto PUBLIC cxx_std_20)
+set_source_files_properties(${streampick_etcd_rpc} ${streampick_etcd_kv} PROPERTIES COMPILE_OPTIONS "-w")
+
+add_library(streampick_etcd STATIC src/roster/etcd/client.cpp)
+target_link_libraries(streampick_etcd PUBLIC streampick_etcd_core streampick_options PRIVATE streampick_etcd_proto)
+
+add_library(streampick_etcd_standin STATIC EXCLUDE_FROM_ALL src/standin/etcd/server.cpp)
+target_link_libraries(streampick_etcd_standin PUBLIC streampick_etcd_core PRIVATE streampick_etcd_proto)
+set_target_properties(streampick_etcd_core streampick_etcd_proto streampick_etcd streampick_etcd_standin
+  PROPERTIES POSITION_INDEPENDENT_CODE ON)
+list(APPEND streampick_parts streampick_etcd streampick_etcd_standin)
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -13,6 +13,21 @@
 
 }  // namespace
 
+#ifdef STREAMPICK_WITH_ETCD
+// The engine is there only once the sources are.
+struct Host::LateReader final : ListReader {
+  void list_came(const MemberList& list) override { engine->list_came(list); }
+  void list_failed() override { engine->list_failed(); }
+  Engine* engine = nullptr;
+};
+
+void Host::learn_from(const etcd::Options& options, std::uint64_t seed) {
+  etcd_ = std::make_unique<etcd::EtcdRoster>(
+      io_, names_, options, seed, sources_->second(), [this] { return sources_->told() == 0; },
+      [](std::string_view text) { log(text); });
+}
+#endif
+
 Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings)
     : io_(io), clock_(clock), names_(settings.settings.names), summary_timer_(io) {
   transports_ = std::make_unique<ServerTransports>(io_, clock_, links_, settings);
@@ -24,7 +39,18 @@
     : io_(io), clock_(clock), names_(settings.settings.names), summary_timer_(io) {
   NodeSettings own = settings;
   transports_ = std::make_unique<ServerTransports>(io_, clock_, links_, own, options);
+#ifdef STREAMPICK_WITH_ETCD
+  if (options.etcd.on) {
+    to_engine_ = std::make_unique<LateReader>();
+    sources_ = std::make_unique<roster::Sources>(*to_engine_);
+  }
+  begin(own, sources_ ? &sources_->platform() : nullptr);
+  if (options.etcd.on) learn_from(options.etcd, own.settings.seed);
+#else
+  if (options.etcd.on)
+    throw options::Error(options.file + ": roster.etcd: not in this build (STREAMPICK_ETCD)");
   begin(own);
+#endif
 #ifdef STREAMPICK_WITH_RESP
   if (!options.resp.front) return;
   resp_ = std::make_unique<resp::RespFront>(io_, clock_, names_, *engine_, options.resp.front->settings,
@@ -34,7 +60,7 @@
 }
 #endif
 
-void Host::begin(const NodeSettings& settings) {
+void Host::begin(const NodeSettings& settings, ListReader* lists) {
   descriptors_ = overload::Descriptors(descriptor_limits(settings));
   links_.descriptors = &descriptors_;
   links_.most_large = settings.memory_mb * (1024 * 1024 / 4);
@@ -53,8 +79,11 @@
   transports_->report_to(*engine_);
   const bool must_ask = told.config.must_ask;
   discovery_ = std::make_unique<Discovery>(io_, names_, settings.discovery, settings.known.revision,
-                                           !must_ask, told.seed, *engine_);
+                                           !must_ask, told.seed, lists != nullptr ? *lists : *engine_);
   engine_->start(*discovery_, settings.known);
+#ifdef STREAMPICK_WITH_ETCD
+  if (lists != nullptr) to_engine_->engine = engine_.get();
+#endif
   std::vector<bool> spared;
   for (const std::string& name : names_.classes)
     spared.push_back(std::find(settings.overload.spared.begin(), settings.overload.spared.end(), name) !=
@@ -74,6 +103,9 @@
   resp_.reset();
 #endif
   http_.reset();
+#ifdef STREAMPICK_WITH_ETCD
+  etcd_.reset();
+#endif
   discovery_.reset();
   engine_.reset();
 }
@@ -93,6 +125,9 @@
          " behind=" + std::to_string(admission_->pressure().windows_behind());
 #ifdef STREAMPICK_WITH_RESP
   if (resp_) out += " resp: " + resp_->summary();
+#endif
+#ifdef STREAMPICK_WITH_ETCD
+  if (etcd_) out += etcd_->summary();
 #endif
   return out + transports_->summary();
 }
--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -19,6 +19,10 @@
 #ifdef STREAMPICK_WITH_OPTIONS
 #include "platform/options.h"
 #endif
+#ifdef STREAMPICK_WITH_ETCD
+#include "roster/etcd/client.h"
+#include "roster/sources.h"
+#endif
 
 namespace streampick::node {
 
@@ -49,7 +53,8 @@
   std::string summary() const;
 
  private:
-  void begin(const NodeSettings& settings);
+  // `lists`: who hears the platform's lists, in place of the engine.
+  void begin(const NodeSettings& settings, ListReader* lists = nullptr);
   void every_ten_seconds();
 
   boost::asio::io_context& io_;
@@ -64,6 +69,13 @@
   std::unique_ptr<Clients> http_;
 #ifdef STREAMPICK_WITH_RESP
   std::unique_ptr<resp::RespFront> resp_;
+#endif
+#ifdef STREAMPICK_WITH_ETCD
+  void learn_from(const etcd::Options& options, std::uint64_t seed);
+  struct LateReader;
+  std::unique_ptr<LateReader> to_engine_;
+  std::unique_ptr<roster::Sources> sources_;
+  std::unique_ptr<etcd::EtcdRoster> etcd_;
 #endif
   boost::asio::steady_timer summary_timer_;
   std::string last_summary_;
--- a/src/platform/options.cpp
+++ b/src/platform/options.cpp
@@ -16,6 +16,10 @@
   if (auto table = root.table("overload")) out.overload = overload::read_options(std::move(*table));
   // Of programs with stubs on a routed channel; one file may serve all of a machine.
   if (auto grpc = root.table("grpc")) out.grpc = rpc::read_options(std::move(*grpc));
+  if (auto roster = root.table("roster")) {
+    if (auto etcd = roster->table("etcd")) out.etcd = etcd::read_options(std::move(*etcd));
+    roster->no_others();
+  }
 #ifdef STREAMPICK_WITH_RESP
   if (auto resp = root.table("resp")) out.resp = resp::read_options(std::move(*resp));
 #endif
@@ -60,6 +64,7 @@
       << " bytes on, up to " << limits.longest_answer << "\n";
   if (!options.grpc.routes.empty())
     out << "grpc: " << options.grpc.routes.size() << " routes, for programs on the client library\n";
+  out << etcd::describe(options.etcd);
 #ifdef STREAMPICK_WITH_RESP
   out << resp::describe(options.resp);
 #else
--- a/src/platform/options.h
+++ b/src/platform/options.h
@@ -8,6 +8,7 @@
 #include "options/table.h"
 #include "overload/settings.h"
 #include "platform/node_settings.h"
+#include "roster/etcd/options.h"
 #ifdef STREAMPICK_WITH_RESP
 #include "resp/options.h"
 #endif
@@ -18,6 +19,7 @@
   std::string file;
   overload::Settings overload;
   rpc::Options grpc;  // checked only
+  etcd::Options etcd;
 #ifdef STREAMPICK_WITH_RESP
   resp::Options resp;
 #endif
--- /dev/null
+++ b/src/roster/etcd/client.cpp
@@ -0,0 +1,561 @@
+#include "roster/etcd/client.h"
+
+#include <fcntl.h>
+#include <grpcpp/alarm.h>
+#include <grpcpp/grpcpp.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <deque>
+#include <fstream>
+#include <iterator>
+#include <mutex>
+#include <optional>
+#include <thread>
+
+#include "roster/etcd/registry.h"
+#include "roster/etcd/seed.h"
+#include "roster/mailbox.h"
+#include "streampick/etcd/rpc.grpc.pb.h"
+
+namespace streampick::etcd {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr int kLargestMessage = 64 * 1024 * 1024;
+constexpr std::size_t kMostFaultsTold = 20, kMostLines = 100;
+constexpr milliseconds kCoalesce{20}, kLongestWait{500}, kSeedEvery{5'000};
+
+Time steady_us() {
+  return std::chrono::duration_cast<microseconds>(std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+long long unix_ms() {
+  return std::chrono::duration_cast<milliseconds>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+std::string file_text(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+}
+
+// The first key behind all that begin with `prefix`; all 0xff: every key there is.
+std::string end_of(std::string prefix) {
+  while (!prefix.empty() && static_cast<unsigned char>(prefix.back()) == 0xffU) prefix.pop_back();
+  if (prefix.empty()) return std::string(1, '\0');
+  prefix.back() = static_cast<char>(static_cast<unsigned char>(prefix.back()) + 1);
+  return prefix;
+}
+
+// Whole or not at all: what was there before stays until the new one is on the disk.
+std::string write_whole(const std::string& path, const std::string& text) {
+  const std::string next = path + ".new";
+  const int file = ::open(next.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (file < 0) return "it can't be opened";
+  std::size_t done = 0;
+  while (done < text.size()) {
+    const ssize_t wrote = ::write(file, text.data() + done, text.size() - done);
+    if (wrote <= 0) break;
+    done += static_cast<std::size_t>(wrote);
+  }
+  const bool whole = done == text.size() && ::fsync(file) == 0;
+  ::close(file);
+  if (!whole || ::rename(next.c_str(), path.c_str()) != 0) {
+    ::unlink(next.c_str());
+    return "it can't be written";
+  }
+  return {};
+}
+
+Header header_of(const etcdserverpb::ResponseHeader& header) {
+  return {header.cluster_id(), header.revision()};
+}
+KeyValue kv_of(const mvccpb::KeyValue& kv) {
+  return {kv.key(), kv.value(), kv.create_revision(), kv.mod_revision()};
+}
+
+}  // namespace
+
+// What both threads see.
+struct Shared {
+  std::mutex mutex;
+  roster::Mailbox mailbox;
+  std::deque<std::string> lines;
+  bool urgent = false, stale = false, posted = false, ended = false;
+  std::optional<node::MemberList> seed;
+  ClientCounts counts;
+};
+
+class EtcdRoster::Worker final : WatcherActions {
+ public:
+  Worker(asio::io_context& io, const Names& names, const Options& options, std::uint64_t seed,
+         node::ListReader& reader, std::function<bool()> use_seed, std::function<void(std::string_view)> log)
+      : io_(io),
+        names_(names),
+        options_(options),
+        reader_(reader),
+        use_seed_(std::move(use_seed)),
+        log_(std::move(log)),
+        timer_(io),
+        watcher_(options.watcher, seed, *this),
+        registry_(names_) {
+    grpc::ChannelArguments arguments;
+    // What is asked again, and when, the watcher decides.
+    arguments.SetInt(GRPC_ARG_ENABLE_RETRIES, 0);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, 10'000);
+    arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, 3'000);
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, 100);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 100);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1'000);
+    arguments.SetMaxReceiveMessageSize(kLargestMessage);
+    std::shared_ptr<grpc::ChannelCredentials> credentials = grpc::InsecureChannelCredentials();
+    if (!options_.ca_file.empty())
+      credentials = grpc::SslCredentials({file_text(options_.ca_file),
+                                          options_.key_file.empty() ? "" : file_text(options_.key_file),
+                                          options_.cert_file.empty() ? "" : file_text(options_.cert_file)});
+    for (const std::string& endpoint : options_.endpoints)
+      endpoints_.push_back({grpc::CreateCustomChannel(endpoint, credentials, arguments), ""});
+    // No signal of the host's is taken on this thread.
+    sigset_t all, before;
+    sigfillset(&all);
+    pthread_sigmask(SIG_SETMASK, &all, &before);
+    thread_ = std::thread([this] { run(); });
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+  }
+  ~Worker() override {
+    {
+      const std::lock_guard lock(shared_->mutex);
+      shared_->ended = true;
+    }
+    alarm_.Set(&queue_, std::chrono::system_clock::now(), nullptr);
+    thread_.join();
+    timer_.cancel();
+  }
+  ClientCounts counts() const {
+    const std::lock_guard lock(shared_->mutex);
+    return shared_->counts;
+  }
+
+ private:
+  struct Endpoint {
+    std::shared_ptr<grpc::Channel> channel;
+    std::string token;
+  };
+  // One call, until the last of its operations has come back.
+  struct Call {
+    virtual ~Call() = default;
+    virtual void came(int what, bool ok) = 0;
+    std::uint64_t turn = 0;
+    std::size_t endpoint = 0;
+    grpc::ClientContext context;
+    grpc::Status status;
+    int out = 0;  // operations
+    bool dropped = false;
+  };
+  struct Tag {
+    Call* call;
+    int what;
+  };
+  Tag* tag(Call* call, int what) {
+    ++call->out;
+    return new Tag{call, what};
+  }
+
+  struct RangeCall final : Call {
+    RangeCall(Worker& of) : owner(of) {}
+    void came(int, bool) override {
+      if (dropped) return;
+      owner.check_token(*this);
+      const Time now = steady_us();
+      if (!status.ok()) {
+        const bool compacted = status.error_code() == grpc::StatusCode::OUT_OF_RANGE;
+        return owner.watcher_.range_failed(now, turn, status.error_message(), compacted);
+      }
+      std::vector<KeyValue> kvs;
+      for (const auto& kv : reply.kvs()) kvs.push_back(kv_of(kv));
+      owner.watcher_.page(now, turn, header_of(reply.header()), std::move(kvs), reply.more());
+    }
+    Worker& owner;
+    etcdserverpb::RangeResponse reply;
+    std::unique_ptr<grpc::ClientAsyncResponseReader<etcdserverpb::RangeResponse>> reader;
+  };
+
+  struct WatchCall final : Call {
+    enum : int { kStarted, kWritten, kRead, kFinished };
+    WatchCall(Worker& of) : owner(of) {}
+    void came(int what, bool ok) override {
+      if (what == kFinished) {
+        if (dropped) return;
+        owner.check_token(*this);
+        return owner.watcher_.broken(steady_us(), turn, "the watch ended: " + status.error_message());
+      }
+      if (what == kWritten) writing = false;
+      if (!ok) return finish();
+      if (what == kStarted) read();
+      if (what == kRead) {
+        if (!dropped) owner.heard(turn, reply);
+        if (!finishing) read();
+      }
+      if (what != kRead) write_next();
+    }
+    void read() { stream->Read(&reply, owner.tag(this, kRead)); }
+    void write(const etcdserverpb::WatchRequest& request) {
+      requests.push_back(request);
+      if (started) write_next();
+    }
+    void write_next() {
+      started = true;
+      if (writing || finishing || requests.empty()) return;
+      writing = true;
+      current = requests.front();
+      requests.pop_front();
+      stream->Write(current, owner.tag(this, kWritten));
+    }
+    void finish() {
+      if (std::exchange(finishing, true)) return;
+      stream->Finish(&status, owner.tag(this, kFinished));
+    }
+    Worker& owner;
+    etcdserverpb::WatchResponse reply;
+    etcdserverpb::WatchRequest current;
+    std::deque<etcdserverpb::WatchRequest> requests;
+    std::unique_ptr<grpc::ClientAsyncReaderWriter<etcdserverpb::WatchRequest, etcdserverpb::WatchResponse>>
+        stream;
+    bool started = false, writing = false, finishing = false;
+  };
+
+  // ---- The thread
+
+  void run() {
+    first_answer_by_ = steady_us() + options_.watcher.answer;
+    watcher_.start(steady_us());
+    while (!ended()) {
+      const Time now = steady_us();
+      if (now >= watcher_.next_time()) watcher_.on_time(now);
+      look_at_seed(now);
+      publish_counts();
+      // In short waits: the queue counts by the system's clock, which may step.
+      const Time left =
+          std::clamp<Time>(watcher_.next_time() == kNever ? kNever : watcher_.next_time() - steady_us(), 0,
+                           microseconds(kLongestWait).count());
+      void* got = nullptr;
+      bool ok = false;
+      if (queue_.AsyncNext(&got, &ok, std::chrono::system_clock::now() + microseconds(left)) !=
+          grpc::CompletionQueue::GOT_EVENT)
+        continue;
+      if (got != nullptr) came(static_cast<Tag*>(got), ok);
+    }
+    for (const auto& call : calls_) {
+      call->dropped = true;
+      call->context.TryCancel();
+    }
+    // Each call's last operation comes back first: none may be begun once the queue is shut.
+    void* got = nullptr;
+    bool ok = false;
+    while (!calls_.empty() && queue_.Next(&got, &ok))
+      if (got != nullptr) came(static_cast<Tag*>(got), ok);
+    queue_.Shutdown();
+    while (queue_.Next(&got, &ok)) {
+    }
+    if (seed_dirty_) write_seed();
+  }
+  void came(Tag* of, bool ok) {
+    const std::unique_ptr<Tag> tag(of);
+    Call* const call = tag->call;
+    --call->out;
+    call->came(tag->what, ok);
+    if (call->out > 0) return;
+    std::erase_if(calls_, [call](const auto& one) { return one.get() == call; });
+  }
+  bool ended() {
+    const std::lock_guard lock(shared_->mutex);
+    return shared_->ended;
+  }
+
+  // ---- The watcher's actions
+
+  void prepare(Call& call, std::uint64_t turn, std::size_t endpoint) {
+    call.turn = turn;
+    call.endpoint = endpoint;
+    call.context.set_wait_for_ready(false);
+    if (options_.user.empty()) return;
+    Endpoint& to = endpoints_[endpoint];
+    if (to.token.empty()) authenticate(to);
+    if (!to.token.empty()) call.context.AddMetadata("token", to.token);
+  }
+  void authenticate(Endpoint& to) {
+    std::string password = file_text(options_.password_file);
+    while (!password.empty() && (password.back() == '\n' || password.back() == '\r')) password.pop_back();
+    grpc::ClientContext context;
+    context.set_deadline(std::chrono::system_clock::now() + microseconds(options_.watcher.answer / 2));
+    etcdserverpb::AuthenticateRequest request;
+    request.set_name(options_.user);
+    request.set_password(password);
+    etcdserverpb::AuthenticateResponse reply;
+    const grpc::Status status =
+        etcdserverpb::Auth::NewStub(to.channel)->Authenticate(&context, request, &reply);
+    if (status.ok()) {
+      to.token = reply.token();
+    } else {
+      said("etcd: not let in as " + options_.user + ": " + status.error_message());
+    }
+  }
+  // A token that has expired is asked for anew with the next call.
+  void check_token(const Call& call) {
+    if (call.status.error_code() == grpc::StatusCode::UNAUTHENTICATED)
+      endpoints_[call.endpoint].token.clear();
+  }
+
+  void range(std::uint64_t turn, std::size_t endpoint, const std::string& from_key, std::int64_t revision,
+             std::size_t limit) override {
+    auto call = std::make_unique<RangeCall>(*this);
+    prepare(*call, turn, endpoint);
+    call->context.set_deadline(std::chrono::system_clock::now() + microseconds(options_.watcher.answer));
+    etcdserverpb::RangeRequest request;
+    request.set_key(from_key.empty() ? options_.prefix : from_key);
+    request.set_range_end(end_of(options_.prefix));
+    request.set_revision(revision);
+    request.set_limit(static_cast<std::int64_t>(limit));
+    call->reader =
+        etcdserverpb::KV::NewStub(endpoints_[endpoint].channel)->AsyncRange(&call->context, request, &queue_);
+    call->reader->Finish(&call->reply, &call->status, tag(call.get(), 0));
+    calls_.push_back(std::move(call));
+  }
+  void watch(std::uint64_t turn, std::size_t endpoint, std::int64_t from_revision) override {
+    drop_all();
+    auto call = std::make_unique<WatchCall>(*this);
+    prepare(*call, turn, endpoint);
+    // A member that has lost its leader ends the watch rather than be silent.
+    if (options_.require_leader) call->context.AddMetadata("hasleader", "true");
+    etcdserverpb::WatchRequest request;
+    auto& create = *request.mutable_create_request();
+    create.set_key(options_.prefix);
+    create.set_range_end(end_of(options_.prefix));
+    create.set_start_revision(from_revision);
+    create.set_progress_notify(true);
+    create.set_fragment(true);
+    call->stream = etcdserverpb::Watch::NewStub(endpoints_[endpoint].channel)
+                       ->AsyncWatch(&call->context, &queue_, tag(call.get(), WatchCall::kStarted));
+    call->requests.push_back(request);
+    watch_ = call.get();
+    calls_.push_back(std::move(call));
+  }
+  void ask_progress(std::uint64_t turn) override {
+    if (watch_ == nullptr || watch_->turn != turn || watch_->dropped) return;
+    etcdserverpb::WatchRequest request;
+    request.mutable_progress_request();
+    watch_->write(request);
+  }
+  void drop(std::uint64_t turn) override {
+    for (const auto& call : calls_) {
+      if (call->turn != turn || call->dropped) continue;
+      call->dropped = true;
+      call->context.TryCancel();
+      if (call.get() == watch_) watch_ = nullptr;
+    }
+  }
+  void drop_all() {
+    for (const auto& call : calls_) {
+      if (call->dropped || call->out == 0) continue;
+      call->dropped = true;
+      call->context.TryCancel();
+    }
+    watch_ = nullptr;
+  }
+  void heard(std::uint64_t turn, const etcdserverpb::WatchResponse& reply) {
+    const Time now = steady_us();
+    const Header header = header_of(reply.header());
+    if (reply.canceled())
+      return watcher_.cancelled(now, turn, reply.cancel_reason(), reply.compact_revision());
+    if (reply.created()) return watcher_.created(now, turn, header);
+    if (reply.events_size() == 0 && !reply.fragment()) return watcher_.progress(now, turn, header);
+    std::vector<Event> events;
+    for (const auto& event : reply.events())
+      events.push_back({event.type() == mvccpb::Event::DELETE, kv_of(event.kv())});
+    watcher_.events(now, turn, header, std::move(events), reply.fragment());
+  }
+  void publish(const Publication& publication) override {
+    const auto lists = registry_.apply(publication);
+    const auto faults = registry_.take_faults();
+    for (std::size_t i = 0; i < std::min(faults.size(), kMostFaultsTold); ++i)
+      said("etcd: " + faults[i].key + " is not used as it stands: " + faults[i].why);
+    if (faults.size() > kMostFaultsTold)
+      said("etcd: and " + std::to_string(faults.size() - kMostFaultsTold) + " more keys");
+    faults_ += faults.size();
+    seed_dirty_ = seed_dirty_ || !lists.empty();
+    const std::lock_guard lock(shared_->mutex);
+    for (const auto& list : lists) {
+      shared_->mailbox.put(list);
+      // Departures and drains wait for nothing.
+      for (const auto& one : list.members)
+        shared_->urgent = shared_->urgent || one.member.phase != Phase::ready;
+    }
+    shared_->stale = false;
+    if (!lists.empty()) post();
+  }
+  void knowledge(const Knowledge& knowledge) override {
+    const std::lock_guard lock(shared_->mutex);
+    shared_->stale = knowledge.state == Knowledge::State::stale;
+    if (shared_->stale) post();
+  }
+  void said(const std::string& line) override {
+    const std::lock_guard lock(shared_->mutex);
+    if (shared_->lines.size() >= kMostLines) return;
+    shared_->lines.push_back(line);
+    post();
+  }
+
+  // ---- To the loop
+
+  void post() {
+    if (std::exchange(shared_->posted, true)) return;
+    asio::post(io_, [this, shared = shared_] {
+      {
+        const std::lock_guard lock(shared->mutex);
+        if (shared->ended) return;
+      }
+      take_soon();
+    });
+  }
+  // Changes that can wait a moment are told together.
+  void take_soon() {
+    const auto now = std::chrono::steady_clock::now();
+    bool wait = false;
+    {
+      const std::lock_guard lock(shared_->mutex);
+      wait = !shared_->urgent && shared_->lines.empty() && !shared_->stale && !shared_->seed &&
+             now - last_taken_ < kCoalesce;
+    }
+    if (!wait) return take();
+    timer_.expires_at(last_taken_ + kCoalesce);
+    timer_.async_wait([this, shared = shared_](const boost::system::error_code& cancelled) {
+      if (cancelled) return;
+      {
+        const std::lock_guard lock(shared->mutex);
+        if (shared->ended) return;
+      }
+      take();
+    });
+  }
+  void take() {
+    std::vector<node::MemberList> lists;
+    std::deque<std::string> lines;
+    std::optional<node::MemberList> seed;
+    bool stale = false;
+    {
+      const std::lock_guard lock(shared_->mutex);
+      shared_->posted = shared_->urgent = false;
+      lists = shared_->mailbox.take();
+      lines = std::exchange(shared_->lines, {});
+      seed = std::exchange(shared_->seed, std::nullopt);
+      stale = std::exchange(shared_->stale, false);
+    }
+    last_taken_ = std::chrono::steady_clock::now();
+    for (const std::string& line : lines) log_(line);
+    if (seed && lists.empty() && use_seed_()) {
+      log_("etcd: out of reach; " + std::to_string(seed->members.size()) +
+           " servers of the seed file are used");
+      reader_.list_came(*seed);
+      stale = true;
+    }
+    for (const auto& list : lists) reader_.list_came(list);
+    if (stale) reader_.list_failed();
+  }
+
+  // ---- The seed file
+
+  void look_at_seed(Time now) {
+    if (options_.seed_file.empty()) return;
+    if (!seed_read_ && now >= first_answer_by_ && watcher_.epoch() == 0) {
+      seed_read_ = true;
+      Seed seed = decode_seed(file_text(options_.seed_file), names_, unix_ms(), options_.seed_most_age_ms);
+      if (!seed.list) return said("etcd: " + options_.seed_file + " is not used: " + seed.why);
+      seed.list->complete = true;
+      const std::lock_guard lock(shared_->mutex);
+      shared_->seed = std::move(seed.list);
+      post();
+    }
+    if (seed_dirty_ && now - seed_written_ >= microseconds(kSeedEvery).count()) {
+      seed_written_ = now;
+      write_seed();
+    }
+  }
+  void write_seed() {
+    seed_dirty_ = false;
+    if (options_.seed_file.empty() || watcher_.epoch() == 0) return;
+    const std::string why = write_whole(options_.seed_file, encode_seed(registry_.list(), names_, unix_ms()));
+    if (!why.empty()) said("etcd: the seed file " + options_.seed_file + ": " + why);
+  }
+  void publish_counts() {
+    const Watcher::Counts& counts = watcher_.counts();
+    const std::lock_guard lock(shared_->mutex);
+    ClientCounts& out = shared_->counts;
+    out.listings = counts.listings;
+    out.watches = counts.watches;
+    out.compactions = counts.compactions;
+    out.breaks = counts.breaks;
+    out.publications = counts.publications;
+    out.departures = counts.departures;
+    out.faults = faults_;
+    out.coalesced = shared_->mailbox.coalesced();
+    out.keys = watcher_.published().size();
+    out.quarantined = registry_.quarantined();
+    out.revision = watcher_.revision();
+    switch (watcher_.knowledge().state) {
+      case Knowledge::State::unknown: out.state = "unknown"; break;
+      case Knowledge::State::fresh: out.state = "fresh"; break;
+      case Knowledge::State::stale: out.state = "stale"; break;
+    }
+  }
+
+  asio::io_context& io_;
+  const Names names_;
+  const Options options_;
+  node::ListReader& reader_;
+  std::function<bool()> use_seed_;
+  std::function<void(std::string_view)> log_;
+  asio::steady_timer timer_;
+  std::chrono::steady_clock::time_point last_taken_{};
+  std::shared_ptr<Shared> shared_ = std::make_shared<Shared>();
+
+  Watcher watcher_;
+  Registry registry_;
+  std::vector<Endpoint> endpoints_;
+  grpc::CompletionQueue queue_;
+  grpc::Alarm alarm_;
+  std::vector<std::unique_ptr<Call>> calls_;
+  WatchCall* watch_ = nullptr;
+  Time first_answer_by_ = 0, seed_written_ = 0;
+  bool seed_read_ = false, seed_dirty_ = false;
+  std::uint64_t faults_ = 0;
+  std::thread thread_;
+};
+
+EtcdRoster::EtcdRoster(asio::io_context& io, const Names& names, const Options& options, std::uint64_t seed,
+                       node::ListReader& reader, std::function<bool()> use_seed,
+                       std::function<void(std::string_view)> log)
+    : worker_(
+          std::make_unique<Worker>(io, names, options, seed, reader, std::move(use_seed), std::move(log))) {}
+EtcdRoster::~EtcdRoster() = default;
+ClientCounts EtcdRoster::counts() const { return worker_->counts(); }
+
+std::string EtcdRoster::summary() const {
+  const ClientCounts counts = worker_->counts();
+  return " etcd: " + counts.state + " revision=" + std::to_string(counts.revision) +
+         " keys=" + std::to_string(counts.keys) + " quarantined=" + std::to_string(counts.quarantined) +
+         " listings=" + std::to_string(counts.listings) + " watches=" + std::to_string(counts.watches) +
+         " compactions=" + std::to_string(counts.compactions) + " breaks=" + std::to_string(counts.breaks) +
+         " departures=" + std::to_string(counts.departures);
+}
+
+}  // namespace streampick::etcd
--- /dev/null
+++ b/src/roster/etcd/options.cpp
@@ -0,0 +1,58 @@
+#include "roster/etcd/options.h"
+
+namespace streampick::etcd {
+
+Options read_options(options::Table table) {
+  Options out;
+  out.on = true;
+  table.texts("endpoints", out.endpoints);
+  if (out.endpoints.empty() || out.endpoints.size() > 16)
+    table.wrong("endpoints", "expected 1 to 16 addresses");
+  for (const std::string& endpoint : out.endpoints)
+    if (endpoint.find(':') == std::string::npos || endpoint.find("//") != std::string::npos)
+      table.wrong("endpoints", "expected host:port, without a scheme, not '" + endpoint + "'");
+  table.text("prefix", out.prefix);
+  if (out.prefix.empty()) table.wrong("prefix", "expected a prefix of 1 to 256 bytes");
+  table.yes("require_leader", out.require_leader);
+  table.text("user", out.user);
+  table.text("password_file", out.password_file, 4096);
+  if (out.user.empty() != out.password_file.empty())
+    table.wrong("user", "user and password_file go together");
+  table.text("ca_file", out.ca_file, 4096);
+  table.text("cert_file", out.cert_file, 4096);
+  table.text("key_file", out.key_file, 4096);
+  if (out.cert_file.empty() != out.key_file.empty())
+    table.wrong("cert_file", "cert_file and key_file go together");
+  if (!out.cert_file.empty() && out.ca_file.empty())
+    table.wrong("ca_file", "a certificate needs ca_file too");
+  table.text("seed_file", out.seed_file, 4096);
+  table.integer("seed_most_age_s", out.seed_most_age_ms, 1, 30LL * 24 * 3600, 1000);
+  WatcherSettings& watcher = out.watcher;
+  watcher.endpoints = out.endpoints.size();
+  table.number("least_share", watcher.least_share, 0, 1);
+  table.integer("page", watcher.page, 1, 10'000);
+  table.integer("most_keys", watcher.most_keys, 1, 1'000'000);
+  table.integer("answer_ms", watcher.answer, 100, 60'000, 1'000);
+  table.integer("silence_ms", watcher.silence, 100, 60'000, 1'000);
+  table.integer("stale_after_ms", watcher.fresh_for, 200, 600'000, 1'000);
+  table.integer("backoff_most_ms", watcher.backoff_most, 100, 60'000, 1'000);
+  if (watcher.fresh_for <= watcher.silence + watcher.answer)
+    table.wrong("stale_after_ms", "expected more than silence_ms and answer_ms together");
+  table.no_others();
+  return out;
+}
+
+std::string describe(const Options& options) {
+  if (!options.on) return "roster: the platform's\n";
+  std::string out = "roster: etcd at";
+  for (const std::string& endpoint : options.endpoints) out += " " + endpoint;
+  out += options.ca_file.empty()     ? ", plain"
+         : options.cert_file.empty() ? ", TLS"
+                                     : ", TLS with a certificate";
+  out += ", prefix " + options.prefix + ", stale after " + std::to_string(options.watcher.fresh_for / 1000) +
+         " ms";
+  out += options.seed_file.empty() ? ", no seed file\n" : ", seed file " + options.seed_file + "\n";
+  return out;
+}
+
+}  // namespace streampick::etcd
--- /dev/null
+++ b/tests/roster/etcd/client_test.cpp
@@ -0,0 +1,292 @@
+// The roster from etcd over gRPC, against the stand-in: each failure is caused, and what is told is counted.
+#include "roster/etcd/client.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "standin/etcd/server.h"
+
+namespace streampick::etcd {
+namespace {
+
+using namespace std::chrono_literals;
+using Faults = standin::EtcdServer::Faults;
+constexpr const char* kPrefix = "/test/servers/";
+
+std::string value(int i, const std::string& phase = "in_service", const std::string& address = "") {
+  return nlohmann::json{{"id", "s-" + std::to_string(i)},
+                        {"host_port", address.empty() ? "127.0.0.1:" + std::to_string(1'000 + i) : address},
+                        {"locality", "a"},
+                        {"flavor", "cache"},
+                        {"cell", 1},
+                        {"phase", phase},
+                        {"size", 1.0},
+                        {"up_since_ms", 0}}
+      .dump();
+}
+std::string key(int i) { return kPrefix + std::to_string(100'000 + i); }
+
+// Keeps what an engine would.
+struct Reader final : node::ListReader {
+  void list_came(const node::MemberList& list) override {
+    ++lists;
+    if (list.complete) there.clear();
+    for (const auto& one : list.members) {
+      if (one.member.phase == Phase::gone) {
+        gone.push_back(one.id);
+        there.erase(one.id);
+      } else {
+        there[one.id] = one;
+      }
+    }
+  }
+  void list_failed() override { ++failed; }
+  std::map<std::string, node::Listed> there;
+  std::vector<std::string> gone;
+  int lists = 0, failed = 0;
+};
+
+struct EtcdClient : ::testing::Test {
+  EtcdClient() {
+    names.zones = {"a"};
+    names.kinds = {"cache", "origin"};
+    options.on = true;
+    options.prefix = kPrefix;
+    options.watcher.answer = 500'000;
+    options.watcher.silence = 200'000;
+    options.watcher.fresh_for = 1'000'000;
+    // Beside the prefix nothing counts.
+    server.put("/test/serverr", "below");
+    server.put("/test/servers0", "above");
+  }
+  void start(std::vector<std::string> endpoints = {}) {
+    options.endpoints = endpoints.empty() ? std::vector<std::string>{server.address()} : std::move(endpoints);
+    options.watcher.endpoints = options.endpoints.size();
+    roster = std::make_unique<EtcdRoster>(
+        io, names, options, 7, reader, [this] { return use_seed; },
+        [this](std::string_view line) { log.emplace_back(line); });
+  }
+  [[nodiscard]] bool wait_for(const std::function<bool()>& holds) {
+    const auto until = std::chrono::steady_clock::now() + 20s;
+    while (!holds()) {
+      if (std::chrono::steady_clock::now() > until) return false;
+      io.restart();
+      io.run_one_for(10ms);
+    }
+    return true;
+  }
+  void quiet(std::chrono::milliseconds time) {
+    const auto until = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < until) {
+      io.restart();
+      io.run_one_for(10ms);
+    }
+  }
+  bool said(const std::string& part) const {
+    return std::any_of(log.begin(), log.end(),
+                       [&](const std::string& line) { return line.find(part) != std::string::npos; });
+  }
+  std::size_t there() const { return reader.there.size(); }
+  void put(int from, int to) {
+    server.on([&](standin::EtcdHistory& history) {
+      for (int i = from; i < to; ++i) history.put(key(i), value(i));
+    });
+  }
+
+  Names names;
+  Options options;
+  standin::EtcdServer server;
+  boost::asio::io_context io;
+  Reader reader;
+  bool use_seed = true;
+  std::vector<std::string> log;
+  std::unique_ptr<EtcdRoster> roster;
+};
+
+TEST_F(EtcdClient, ReadsInPagesWatchesAndTellsWhatCameChangedAndWent) {
+  put(0, 25);
+  options.watcher.page = 10;
+  start();
+  ASSERT_TRUE(wait_for([&] { return there() == 25; }));
+  EXPECT_EQ(server.ranges, 3U);
+  ASSERT_TRUE(wait_for([&] { return server.open_watches == 1; }));
+  server.put(key(3), value(3, "terminating"));
+  ASSERT_TRUE(wait_for([&] { return reader.there["s-3"].member.phase == Phase::draining; }));
+  server.remove(key(3));
+  put(30, 31);
+  ASSERT_TRUE(wait_for([&] { return there() == 25 && reader.there.contains("s-30"); }));
+  EXPECT_EQ(reader.gone, std::vector<std::string>{"s-3"});
+  server.put(key(4), "{");
+  ASSERT_TRUE(wait_for([&] { return said("not used as it stands"); }));
+  EXPECT_TRUE(reader.there.contains("s-4"));
+  EXPECT_EQ(server.ranges, 3U);
+}
+
+TEST_F(EtcdClient, AWatchThatIsDroppedGoesOnWhereItWasAndACompactedOneListsAnew) {
+  put(0, 8);
+  start();
+  ASSERT_TRUE(wait_for([&] { return there() == 8 && server.open_watches == 1; }));
+  server.drop_watches();
+  server.remove(key(0));
+  ASSERT_TRUE(wait_for([&] { return reader.gone.size() == 1 && server.open_watches == 1; }));
+  EXPECT_EQ(server.ranges, 1U);
+  server.drop_watches();
+  server.on([&](standin::EtcdHistory& history) {
+    history.remove(key(1));
+    history.remove(key(2));
+    history.put(key(2), value(2));  // there again, another incarnation
+    history.put(key(9), value(9));
+    history.compact(history.revision());
+  });
+  ASSERT_TRUE(wait_for([&] { return reader.gone.size() == 3; }));
+  EXPECT_EQ(reader.gone, (std::vector<std::string>{"s-0", "s-1", "s-2"}));
+  ASSERT_TRUE(wait_for([&] { return there() == 7; }));
+  EXPECT_TRUE(reader.there.contains("s-2") && reader.there.contains("s-9"));
+  EXPECT_EQ(server.ranges, 2U);
+  EXPECT_TRUE(said("compacted up to revision"));
+}
+
+TEST_F(EtcdClient, ABreakBetweenTwoEventsOfATransactionTellsNoHalfOfIt) {
+  put(0, 6);
+  start();
+  ASSERT_TRUE(wait_for([&] { return there() == 6 && server.open_watches == 1; }));
+  server.set({.break_in_batch = true, .fragment = 1});
+  server.on([](standin::EtcdHistory& history) {
+    history.commit({{key(0), std::nullopt, 0}, {key(1), std::nullopt, 0}, {key(7), value(7), 0}});
+  });
+  ASSERT_TRUE(wait_for([&] { return server.watches >= 3; }));
+  EXPECT_EQ(reader.gone.size(), 0U);
+  EXPECT_EQ(there(), 6U);
+  server.set({.repeat = true, .fragment = 1});
+  ASSERT_TRUE(wait_for([&] { return reader.there.contains("s-7"); }));
+  EXPECT_EQ(reader.gone.size(), 2U);
+  EXPECT_EQ(there(), 5U);
+  quiet(100ms);
+  EXPECT_EQ(reader.gone.size(), 2U);  // delivered twice, told once
+}
+
+TEST_F(EtcdClient, AHalfOpenSilenceIsNoticedAndTheNextMemberTakesOver) {
+  const auto history = std::make_shared<standin::EtcdHistory>();
+  standin::EtcdServer one(history), other(history);
+  history->put(key(0), value(0));
+  history->put(key(1), value(1));
+  start({one.address(), other.address()});
+  ASSERT_TRUE(wait_for([&] { return there() == 2 && one.open_watches + other.open_watches == 1; }));
+  standin::EtcdServer& silent = one.open_watches == 1 ? one : other;
+  standin::EtcdServer& takes_over = one.open_watches == 1 ? other : one;
+  silent.set({.silent = true});
+  takes_over.remove(key(0));
+  ASSERT_TRUE(wait_for([&] { return reader.gone.size() == 1; }));
+  EXPECT_EQ(takes_over.open_watches, 1);
+  EXPECT_GE(silent.progress_asked + takes_over.progress_asked, 1U);
+  EXPECT_EQ(one.ranges + other.ranges, 1U);  // it went on, and read nothing anew
+}
+
+TEST_F(EtcdClient, OutOfReachTheRosterStaysItIsToldOnceThatItIsOldAndNoDepartureIsLost) {
+  put(0, 4);
+  start();
+  ASSERT_TRUE(wait_for([&] { return there() == 4 && server.open_watches == 1; }));
+  server.set({.unavailable = true});
+  ASSERT_TRUE(wait_for([&] { return reader.failed == 1; }));
+  server.remove(key(0));
+  quiet(500ms);
+  EXPECT_EQ(reader.failed, 1);
+  EXPECT_EQ(there(), 4U);
+  EXPECT_EQ(roster->counts().state, "stale");
+  server.set({});
+  ASSERT_TRUE(wait_for([&] { return reader.gone.size() == 1; }));
+  ASSERT_TRUE(wait_for([&] { return roster->counts().state == "fresh"; }));
+}
+
+TEST_F(EtcdClient, ATokenThatExpiresIsAskedForAnewAndAWrongPasswordIsSaid) {
+  const auto folder =
+      std::filesystem::temp_directory_path() / ("streampick-etcd-" + std::to_string(::getpid()));
+  std::ofstream(folder) << "wrong\n";
+  put(0, 3);
+  options.user = "router";
+  options.password_file = folder;
+  server.set({.password = "right", .token_calls = 2});
+  start();
+  ASSERT_TRUE(wait_for([&] { return said("not let in as router"); }));
+  EXPECT_EQ(there(), 0U);
+  std::ofstream(folder) << "right\n";
+  ASSERT_TRUE(wait_for([&] { return there() == 3 && server.open_watches == 1; }));
+  for (int i = 0; i < 3; ++i) {
+    server.drop_watches();
+    server.remove(key(i));
+    ASSERT_TRUE(wait_for([&] { return reader.gone.size() == static_cast<std::size_t>(i + 1); }));
+  }
+  EXPECT_GE(server.authentications, 3U);
+  std::filesystem::remove(folder);
+}
+
+TEST_F(EtcdClient, AKeyThatChangesAThousandTimesIsToldInFewLists) {
+  put(0, 3);
+  start();
+  ASSERT_TRUE(wait_for([&] { return there() == 3 && server.open_watches == 1; }));
+  const int before = reader.lists;
+  for (int i = 0; i < 1'000; ++i)
+    server.put(key(0), value(0, "in_service", "127.0.0.1:" + std::to_string(2'000 + i)));
+  ASSERT_TRUE(wait_for([&] { return reader.there["s-0"].address == "127.0.0.1:2999"; }));
+  EXPECT_LE(reader.lists - before, 200);
+}
+
+TEST_F(EtcdClient, ARosterOfTwentyThousandIsReadAndADepartureInItSeen) {
+  put(0, 20'000);
+  options.watcher.answer = 5'000'000;
+  start();
+  ASSERT_TRUE(wait_for([&] { return there() == 20'000; }));
+  ASSERT_TRUE(wait_for([&] { return server.open_watches == 1; }));
+  server.remove(key(19'999));
+  ASSERT_TRUE(wait_for([&] { return reader.gone.size() == 1; }));
+  EXPECT_EQ(server.ranges, 20U);
+}
+
+TEST_F(EtcdClient, WithEtcdAwayAtTheStartTheSeedFileServesWhereNothingElseDoes) {
+  const auto file =
+      std::filesystem::temp_directory_path() / ("streampick-seed-" + std::to_string(::getpid()));
+  options.seed_file = file;
+  put(0, 5);
+  start();
+  ASSERT_TRUE(wait_for([&] { return there() == 5; }));
+  ASSERT_TRUE(wait_for([&] { return std::filesystem::exists(file) || roster->counts().publications > 0; }));
+  roster.reset();  // writes what it has
+  ASSERT_TRUE(std::filesystem::exists(file));
+  server.set({.unavailable = true});
+  reader = {};
+  start();
+  ASSERT_TRUE(wait_for([&] { return there() == 5; }));
+  EXPECT_EQ(reader.failed, 1);  // and it counts as old
+  EXPECT_TRUE(said("5 servers of the seed file are used"));
+  server.remove(key(2));
+  server.set({});
+  ASSERT_TRUE(wait_for([&] { return there() == 4; }));
+  // Where another source has told servers, the file is not used.
+  roster.reset();
+  server.set({.unavailable = true});
+  reader = {};
+  use_seed = false;
+  start();
+  quiet(1'500ms);
+  EXPECT_EQ(reader.lists, 0);
+  roster.reset();
+  std::filesystem::remove(file);
+}
+
+TEST_F(EtcdClient, ItEndsAtOnceWhateverIsOnItsWay) {
+  server.set({.silent = true});
+  for (int i = 0; i < 10; ++i) {
+    start();
+    quiet(std::chrono::milliseconds(5 * i));
+    roster.reset();
+  }
+  EXPECT_EQ(reader.lists, 0);
+}
+
+}  // namespace
+}  // namespace streampick::etcd
--- /dev/null
+++ b/tests/roster/etcd/daemon_test.cpp
@@ -0,0 +1,129 @@
+// The daemon with its roster from etcd, under load, while watches drop, histories are compacted and caches
+// leave: none that departed gets new work 2 s after we were told, counted at the caches.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <filesystem>
+#include <thread>
+
+#include "plugin/fleet.h"
+#include "standin/etcd/server.h"
+#include "standin/http_client.h"
+
+namespace streampick::test {
+namespace {
+
+using namespace std::chrono_literals;
+constexpr std::size_t kCaches = 6;
+
+std::string value(const standin::PlatformMember& member, const std::string& phase = "in_service") {
+  return nlohmann::json{{"id", member.id}, {"host_port", member.address},
+                        {"locality", "a"}, {"flavor", member.origin ? "origin" : "cache"},
+                        {"cell", 1},       {"phase", phase},
+                        {"size", 1.0},     {"up_since_ms", 0}}
+      .dump();
+}
+
+struct Load {
+  explicit Load(const std::string& address) {
+    for (int c = 0; c < 4; ++c)
+      threads.emplace_back([this, address, c] {
+        standin::HttpClient client(address);
+        for (std::uint64_t i = 0; !stop; ++i) {
+          const int status = client.ask({.request_class = "tile-read",
+                                         .key = "sheet-" + std::to_string(i * 7919 % 200),
+                                         .id = 0x100000 * static_cast<std::uint64_t>(c + 1) + i,
+                                         .remaining = 2,
+                                         .save = false,
+                                         .value = ""});
+          ++(status == 200 ? served : other);
+          std::this_thread::sleep_for(2ms);
+        }
+      });
+  }
+  ~Load() {
+    stop = true;
+    for (std::thread& thread : threads) thread.join();
+  }
+  std::atomic<bool> stop{false};
+  std::atomic<std::uint64_t> served{0}, other{0};
+  std::vector<std::thread> threads;
+};
+
+TEST(EtcdDaemon, NoDepartedCacheGetsNewWorkTwoSecondsAfterWeWereTold) {
+  StandinFleet fleet(kCaches, 1ms);
+  const auto history = std::make_shared<standin::EtcdHistory>();
+  standin::EtcdServer one(history), other(history);
+  const auto key = [](std::size_t i) { return "/fleet/" + std::to_string(i); };
+  for (std::size_t i = 0; i <= kCaches; ++i) history->put(key(i), value(fleet.members[i]));
+
+  boost::asio::io_context io;
+  const std::string address = "127.0.0.1:" + std::to_string(standin::free_port(io));
+  auto config = nlohmann::json::parse(fleet.settings.config);
+  config["listen"] = address;
+  const auto log = std::filesystem::temp_directory_path() / ("streampick-etcd-" + std::to_string(::getpid()));
+  standin::RouterProcess router(
+      STREAMPICK_ROUTER, config,
+      "[roster.etcd]\nendpoints = [\"" + one.address() + "\", \"" + other.address() +
+          "\"]\nprefix = \"/fleet/\"\nsilence_ms = 200\nanswer_ms = 400\nstale_after_ms = 1000\n",
+      log);
+  for (int tries = 0; tries < 1'000 && one.open_watches + other.open_watches == 0; ++tries)
+    std::this_thread::sleep_for(10ms);
+  ASSERT_EQ(one.open_watches + other.open_watches, 1);
+
+  std::uint64_t served = 0, failed = 0;
+  {
+    Load load(address);
+    const auto asked_of = [&](std::size_t i, std::uint64_t more) {
+      const std::uint64_t from = fleet.requests_at(i);
+      for (int tries = 0; tries < 1'000 && fleet.requests_at(i) < from + more; ++tries)
+        std::this_thread::sleep_for(5ms);
+      EXPECT_GE(fleet.requests_at(i), from + more) << "cache " << i;
+    };
+    for (std::size_t i = 0; i < kCaches; ++i) asked_of(i, 5);
+    // Four ways to leave, each with a fault beside it.
+    const std::array<std::function<void()>, 4> leaves = {
+        [&] { one.put(key(0), value(fleet.members[0], "terminating")); },
+        [&] {  // the watch is dropped just then
+          one.drop_watches();
+          other.drop_watches();
+          one.remove(key(1));
+        },
+        [&] {  // and what told of it is compacted before the watch is back
+          one.on([&](standin::EtcdHistory& all) {
+            all.remove(key(2));
+            all.put("/fleet/9", value({"s-9", "127.0.0.1:1", false}, "terminating"));
+            all.remove("/fleet/9");
+            all.compact(all.revision());
+          });
+          one.drop_watches();
+          other.drop_watches();
+        },
+        [&] {  // the member that is watched says nothing more
+          standin::EtcdServer& watched = one.open_watches > 0 ? one : other;
+          watched.set({.silent = true});
+          (one.open_watches > 0 ? other : one).remove(key(3));
+        }};
+    for (std::size_t i = 0; i < leaves.size(); ++i) {
+      leaves[i]();
+      std::this_thread::sleep_for(2'000ms);
+      const std::uint64_t then = fleet.requests_at(i);
+      std::this_thread::sleep_for(300ms);
+      EXPECT_EQ(fleet.requests_at(i), then) << "cache " << i;
+      one.set({});
+      other.set({});
+    }
+    asked_of(4, 5);  // those that stayed go on
+    asked_of(5, 5);
+    load.stop = true;
+    served = load.served;
+    failed = load.other;
+  }
+  EXPECT_EQ(router.stop(), 0);
+  EXPECT_GT(served, 500U);
+  EXPECT_LE(failed, served / 50);
+  std::filesystem::remove(log);
+}
+
+}  // namespace
+}  // namespace streampick::test
