--- a/cmake/etcd.cmake
+++ b/cmake/etcd.cmake
@@ -17,3 +17,9 @@
 set_target_properties(streampick_etcd_core streampick_etcd_proto streampick_etcd streampick_etcd_standin
   PROPERTIES POSITION_INDEPENDENT_CODE ON)
 list(APPEND streampick_parts streampick_etcd streampick_etcd_standin)
+
+# The publishing side: a server's entry, kept alive while the server is.
+add_executable(streampick_roster_tool tools/roster.cpp)
+set_target_properties(streampick_roster_tool PROPERTIES OUTPUT_NAME streampick_roster)
+target_link_libraries(streampick_roster_tool PRIVATE streampick_etcd_core streampick_etcd_proto CLI11::CLI11)
+list(APPEND streampick_parts streampick_roster_tool)
--- a/src/standin/etcd/server.cpp
+++ b/src/standin/etcd/server.cpp
@@ -34,8 +34,22 @@
     header.set_revision(revision);
     header.set_raft_term(2);
   }
+  // Leases that nobody kept alive end, and their keys with them.
+  void expire() {
+    const auto now = std::chrono::steady_clock::now();
+    for (auto it = leases.begin(); it != leases.end();) {
+      if (it->second.until > now) {
+        ++it;
+        continue;
+      }
+      owner.history_->end_lease(it->first);
+      it = leases.erase(it);
+      owner.changed_.notify_all();
+    }
+  }
   // A fault that ends, or holds, every call.
   Status met(grpc::ServerContext& context, std::unique_lock<std::mutex>& lock) {
+    expire();
     if (owner.faults_.unavailable) return {StatusCode::UNAVAILABLE, "etcdserver: no leader"};
     while (owner.faults_.silent && !owner.ended_) {
       if (context.IsCancelled()) return {StatusCode::CANCELLED, ""};
@@ -82,6 +96,8 @@
     Status Put(grpc::ServerContext* context, const pb::PutRequest* request, pb::PutResponse* reply) override {
       std::unique_lock lock(all.owner.mutex_);
       if (Status status = all.met(*context, lock); !status.ok()) return status;
+      if (request->lease() != 0 && !all.leases.contains(request->lease()))
+        return {StatusCode::NOT_FOUND, "etcdserver: requested lease not found"};
       all.owner.history_->put(request->key(), request->value(), request->lease());
       all.head(*reply->mutable_header(), all.owner.history_->revision());
       all.owner.changed_.notify_all();
@@ -161,6 +177,7 @@
                  std::atomic<int>& asked) {
       EtcdServer& owner = all.owner;
       while (!owner.ended_ && !context.IsCancelled()) {
+        all.expire();
         const EtcdHistory& history = *owner.history_;
         if (generation != owner.generation_ || owner.faults_.unavailable)
           return {StatusCode::UNAVAILABLE, "etcdserver: the member stops"};
@@ -226,22 +243,50 @@
 
   struct Leases final : pb::Lease::Service {
     explicit Leases(Services& of) : all(of) {}
-    Status LeaseGrant(grpc::ServerContext*, const pb::LeaseGrantRequest* request,
+    Status LeaseGrant(grpc::ServerContext* context, const pb::LeaseGrantRequest* request,
                       pb::LeaseGrantResponse* reply) override {
-      const std::lock_guard lock(all.owner.mutex_);
-      reply->set_id(request->id() != 0 ? request->id() : ++all.last_lease);
+      std::unique_lock lock(all.owner.mutex_);
+      if (Status status = all.met(*context, lock); !status.ok()) return status;
+      const std::int64_t id = request->id() != 0 ? request->id() : ++all.last_lease;
+      const std::chrono::seconds ttl(request->ttl());
+      all.leases[id] = {ttl, std::chrono::steady_clock::now() + ttl};
+      reply->set_id(id);
       reply->set_ttl(request->ttl());
       all.head(*reply->mutable_header(), all.owner.history_->revision());
       return Status::OK;
     }
-    Status LeaseRevoke(grpc::ServerContext*, const pb::LeaseRevokeRequest* request,
+    Status LeaseRevoke(grpc::ServerContext* context, const pb::LeaseRevokeRequest* request,
                        pb::LeaseRevokeResponse* reply) override {
-      const std::lock_guard lock(all.owner.mutex_);
+      std::unique_lock lock(all.owner.mutex_);
+      if (Status status = all.met(*context, lock); !status.ok()) return status;
+      if (all.leases.erase(request->id()) == 0)
+        return {StatusCode::NOT_FOUND, "etcdserver: requested lease not found"};
       all.owner.history_->end_lease(request->id());
       all.head(*reply->mutable_header(), all.owner.history_->revision());
       all.owner.changed_.notify_all();
       return Status::OK;
     }
+    Status LeaseKeepAlive(
+        grpc::ServerContext* context,
+        grpc::ServerReaderWriter<pb::LeaseKeepAliveResponse, pb::LeaseKeepAliveRequest>* stream) override {
+      pb::LeaseKeepAliveRequest request;
+      while (stream->Read(&request)) {
+        pb::LeaseKeepAliveResponse reply;
+        {
+          std::unique_lock lock(all.owner.mutex_);
+          if (Status status = all.met(*context, lock); !status.ok()) return status;
+          const auto found = all.leases.find(request.id());
+          reply.set_id(request.id());
+          if (found != all.leases.end()) {
+            found->second.until = std::chrono::steady_clock::now() + found->second.ttl;
+            reply.set_ttl(found->second.ttl.count());
+          }
+          all.head(*reply.mutable_header(), all.owner.history_->revision());
+        }
+        if (!stream->Write(reply)) break;
+      }
+      return Status::OK;
+    }
     Services& all;
   };
 
@@ -271,6 +316,11 @@
   EtcdServer& owner;
   std::map<std::string, int> tokens;  // calls left; 0: any number
   std::uint64_t last_token = 0;
+  struct Granted {
+    std::chrono::seconds ttl;
+    std::chrono::steady_clock::time_point until;
+  };
+  std::map<std::int64_t, Granted> leases;
   std::int64_t last_lease = 100;
   Kv kv;
   Watching watch;
--- a/tests/roster/etcd/client_test.cpp
+++ b/tests/roster/etcd/client_test.cpp
@@ -2,9 +2,12 @@
 #include "roster/etcd/client.h"
 
 #include <gtest/gtest.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <csignal>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -288,5 +291,48 @@
   EXPECT_EQ(reader.lists, 0);
 }
 
+// The program that a server runs beside itself.
+class Registered {
+ public:
+  Registered(const std::string& endpoint, const std::string& id, const std::string& address)
+      : child_(::fork()) {
+    if (child_ != 0) return;
+    if (::freopen("/dev/null", "w", stdout) == nullptr) ::_exit(9);
+    ::execl(STREAMPICK_ROSTER, STREAMPICK_ROSTER, "--endpoint", endpoint.c_str(), "--prefix", kPrefix,
+            "register", "--id", id.c_str(), "--address", address.c_str(), "--zone", "a", "--kind", "cache",
+            "--ttl-s", "1", "--drain-s", "1", nullptr);
+    ::_exit(9);
+  }
+  ~Registered() {
+    if (child_ > 0) end(SIGKILL);
+  }
+  int end(int signal) {
+    ::kill(child_, signal);
+    int status = 0;
+    ::waitpid(std::exchange(child_, -1), &status, 0);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  }
+  pid_t child() const { return child_; }
+
+ private:
+  pid_t child_;
+};
+
+TEST_F(EtcdClient, ARegisteredServerIsThereWhileItLivesDrainsWhenItIsToldToAndGoesWithItsLeaseWhenItDies) {
+  Registered one(server.address(), "s-1", "127.0.0.1:4001"), other(server.address(), "s-2", "127.0.0.1:4002");
+  start();
+  ASSERT_TRUE(wait_for([&] { return there() == 2; }));
+  quiet(1'500ms);  // longer than the lease
+  EXPECT_EQ(there(), 2U);
+  EXPECT_TRUE(reader.gone.empty());
+  ::kill(one.child(), SIGTERM);
+  ASSERT_TRUE(wait_for([&] { return reader.there["s-1"].member.phase == Phase::draining; }));
+  ASSERT_TRUE(wait_for([&] { return reader.gone.size() == 1; }));
+  EXPECT_EQ(one.end(0), 0);
+  other.end(SIGKILL);
+  ASSERT_TRUE(wait_for([&] { return reader.gone.size() == 2; }));
+  EXPECT_EQ(there(), 0U);
+}
+
 }  // namespace
 }  // namespace streampick::etcd
