Members of a stand-in cluster share one lock; quarantined keys are kept apart

Cause: two stand-in servers on one history had a lock each: a read of freed memory in one of two runs of the daemon's test. The lock and its condition stand with the history now. The router process of a test that crashed lived on and held its output open: it goes with its parent, and nothing takes memory between fork and exec.

--- a/src/roster/etcd/registry.cpp
+++ b/src/roster/etcd/registry.cpp
@@ -61,8 +61,8 @@
   // What was held back by a clash may hold now. Each round makes at least one good, or ends.
   for (bool again = true; again;) {
     again = false;
-    for (const auto& [key, entry] : entries_) {
-      if (entry.fault.empty() || std::find(look_at.begin(), look_at.end(), key) != look_at.end()) continue;
+    for (const std::string& key : std::set<std::string>(faulty_)) {
+      if (std::find(look_at.begin(), look_at.end(), key) != look_at.end()) continue;
       const std::size_t before = changed.members.size();
       take(key, changed);
       again = again || changed.members.size() > before;
@@ -105,10 +105,12 @@
   if (!fault.empty()) {
     if (fault.size() > kLongestFault) fault.resize(kLongestFault);
     if (fault != entry.fault) new_faults_.push_back({key, fault});
+    faulty_.insert(key);
     entry.fault = std::move(fault);
     return;
   }
   entry.fault.clear();
+  faulty_.erase(key);
   if (entry.good) {
     if (same(*entry.good, *listed)) return;
     if (entry.good->id != listed->id) {
@@ -134,11 +136,7 @@
     out.members.back().member.phase = Phase::gone;
   }
   entries_.erase(found);
-}
-
-std::size_t Registry::quarantined() const {
-  return static_cast<std::size_t>(std::count_if(entries_.begin(), entries_.end(),
-                                                [](const auto& one) { return !one.second.fault.empty(); }));
+  faulty_.erase(key);
 }
 
 node::MemberList Registry::list() const {
--- a/src/roster/etcd/registry.h
+++ b/src/roster/etcd/registry.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -33,7 +34,7 @@
   };
   // Found since the last call; a fault that stays is told once.
   std::vector<Fault> take_faults() { return std::exchange(new_faults_, {}); }
-  std::size_t quarantined() const;
+  std::size_t quarantined() const { return faulty_.size(); }
   std::size_t members() const { return by_id_.size(); }
   // All that is good, as a complete list.
   node::MemberList list() const;
@@ -52,6 +53,7 @@
   std::int64_t revision_ = 0;
   std::map<std::string, Entry> entries_;                   // by key
   std::map<std::string, std::string> by_id_, by_address_;  // of what is good, to its key
+  std::set<std::string> faulty_;                           // keys whose newest value is not used
   std::vector<Fault> new_faults_;
 };
 
--- a/src/standin/etcd/server.cpp
+++ b/src/standin/etcd/server.cpp
@@ -29,7 +29,7 @@
   // With the lock held.
   void head(pb::ResponseHeader& header, std::int64_t revision) const {
     header.set_cluster_id(owner.faults_.cluster_id != 0 ? owner.faults_.cluster_id
-                                                        : owner.history_->cluster_id);
+                                                        : owner.cluster_->history.cluster_id);
     header.set_member_id(1);
     header.set_revision(revision);
     header.set_raft_term(2);
@@ -42,9 +42,9 @@
         ++it;
         continue;
       }
-      owner.history_->end_lease(it->first);
+      owner.cluster_->history.end_lease(it->first);
       it = leases.erase(it);
-      owner.changed_.notify_all();
+      owner.cluster_->changed.notify_all();
     }
   }
   // A fault that ends, or holds, every call.
@@ -53,7 +53,7 @@
     if (owner.faults_.unavailable) return {StatusCode::UNAVAILABLE, "etcdserver: no leader"};
     while (owner.faults_.silent && !owner.ended_) {
       if (context.IsCancelled()) return {StatusCode::CANCELLED, ""};
-      owner.changed_.wait_for(lock, std::chrono::milliseconds(20));
+      owner.cluster_->changed.wait_for(lock, std::chrono::milliseconds(20));
     }
     if (owner.faults_.password.empty()) return Status::OK;
     const auto& metadata = context.client_metadata();
@@ -70,10 +70,10 @@
     explicit Kv(Services& of) : all(of) {}
     Status Range(grpc::ServerContext* context, const pb::RangeRequest* request,
                  pb::RangeResponse* reply) override {
-      std::unique_lock lock(all.owner.mutex_);
+      std::unique_lock lock(all.owner.cluster_->mutex);
       ++all.owner.ranges;
       if (Status status = all.met(*context, lock); !status.ok()) return status;
-      const EtcdHistory& history = *all.owner.history_;
+      const EtcdHistory& history = all.owner.cluster_->history;
       const std::int64_t newest = std::max(history.compacted(), history.revision() - all.owner.faults_.lag);
       const std::int64_t at = request->revision() > 0 ? request->revision() : newest;
       if (at < history.compacted())
@@ -94,32 +94,32 @@
       return Status::OK;
     }
     Status Put(grpc::ServerContext* context, const pb::PutRequest* request, pb::PutResponse* reply) override {
-      std::unique_lock lock(all.owner.mutex_);
+      std::unique_lock lock(all.owner.cluster_->mutex);
       if (Status status = all.met(*context, lock); !status.ok()) return status;
       if (request->lease() != 0 && !all.leases.contains(request->lease()))
         return {StatusCode::NOT_FOUND, "etcdserver: requested lease not found"};
-      all.owner.history_->put(request->key(), request->value(), request->lease());
-      all.head(*reply->mutable_header(), all.owner.history_->revision());
-      all.owner.changed_.notify_all();
+      all.owner.cluster_->history.put(request->key(), request->value(), request->lease());
+      all.head(*reply->mutable_header(), all.owner.cluster_->history.revision());
+      all.owner.cluster_->changed.notify_all();
       return Status::OK;
     }
     Status DeleteRange(grpc::ServerContext* context, const pb::DeleteRangeRequest* request,
                        pb::DeleteRangeResponse* reply) override {
-      std::unique_lock lock(all.owner.mutex_);
+      std::unique_lock lock(all.owner.cluster_->mutex);
       if (Status status = all.met(*context, lock); !status.ok()) return status;
-      const std::int64_t before = all.owner.history_->revision();
-      const std::int64_t after = all.owner.history_->remove(request->key());
+      const std::int64_t before = all.owner.cluster_->history.revision();
+      const std::int64_t after = all.owner.cluster_->history.remove(request->key());
       reply->set_deleted(after > before ? 1 : 0);
       all.head(*reply->mutable_header(), after);
-      all.owner.changed_.notify_all();
+      all.owner.cluster_->changed.notify_all();
       return Status::OK;
     }
     Status Compact(grpc::ServerContext* context, const pb::CompactionRequest* request,
                    pb::CompactionResponse* reply) override {
-      std::unique_lock lock(all.owner.mutex_);
+      std::unique_lock lock(all.owner.cluster_->mutex);
       if (Status status = all.met(*context, lock); !status.ok()) return status;
-      all.owner.history_->compact(request->revision());
-      all.head(*reply->mutable_header(), all.owner.history_->revision());
+      all.owner.cluster_->history.compact(request->revision());
+      all.head(*reply->mutable_header(), all.owner.cluster_->history.revision());
       return Status::OK;
     }
     Services& all;
@@ -133,12 +133,12 @@
       if (!stream->Read(&request) || !request.has_create_request()) return Status::OK;
       const pb::WatchCreateRequest create = request.create_request();
       EtcdServer& owner = all.owner;
-      std::unique_lock lock(owner.mutex_);
+      std::unique_lock lock(owner.cluster_->mutex);
       ++owner.watches;
       if (Status status = all.met(*context, lock); !status.ok()) return status;
       const std::uint64_t generation = owner.generation_;
-      if (owner.faults_.slow_creation) owner.changed_.wait_for(lock, std::chrono::milliseconds(300));
-      const EtcdHistory& history = *owner.history_;
+      if (owner.faults_.slow_creation) owner.cluster_->changed.wait_for(lock, std::chrono::milliseconds(300));
+      const EtcdHistory& history = owner.cluster_->history;
       std::int64_t sent = create.start_revision() > 0 ? create.start_revision() - 1 : history.revision();
       pb::WatchResponse created;
       all.head(*created.mutable_header(), history.revision());
@@ -152,8 +152,8 @@
           if (next.has_progress_request()) {
             ++asked;
             ++owner.progress_asked;
-            const std::lock_guard inner(owner.mutex_);
-            owner.changed_.notify_all();
+            const std::lock_guard inner(owner.cluster_->mutex);
+            owner.cluster_->changed.notify_all();
           }
       });
       const Status status = serve(lock, *context, *stream, create, sent, generation, asked);
@@ -178,7 +178,7 @@
       EtcdServer& owner = all.owner;
       while (!owner.ended_ && !context.IsCancelled()) {
         all.expire();
-        const EtcdHistory& history = *owner.history_;
+        const EtcdHistory& history = owner.cluster_->history;
         if (generation != owner.generation_ || owner.faults_.unavailable)
           return {StatusCode::UNAVAILABLE, "etcdserver: the member stops"};
         if (!owner.faults_.silent) {
@@ -205,7 +205,7 @@
             continue;
           }
         }
-        owner.changed_.wait_for(lock, std::chrono::milliseconds(20));
+        owner.cluster_->changed.wait_for(lock, std::chrono::milliseconds(20));
       }
       return {StatusCode::UNAVAILABLE, "ended"};
     }
@@ -245,25 +245,25 @@
     explicit Leases(Services& of) : all(of) {}
     Status LeaseGrant(grpc::ServerContext* context, const pb::LeaseGrantRequest* request,
                       pb::LeaseGrantResponse* reply) override {
-      std::unique_lock lock(all.owner.mutex_);
+      std::unique_lock lock(all.owner.cluster_->mutex);
       if (Status status = all.met(*context, lock); !status.ok()) return status;
       const std::int64_t id = request->id() != 0 ? request->id() : ++all.last_lease;
       const std::chrono::seconds ttl(request->ttl());
       all.leases[id] = {ttl, std::chrono::steady_clock::now() + ttl};
       reply->set_id(id);
       reply->set_ttl(request->ttl());
-      all.head(*reply->mutable_header(), all.owner.history_->revision());
+      all.head(*reply->mutable_header(), all.owner.cluster_->history.revision());
       return Status::OK;
     }
     Status LeaseRevoke(grpc::ServerContext* context, const pb::LeaseRevokeRequest* request,
                        pb::LeaseRevokeResponse* reply) override {
-      std::unique_lock lock(all.owner.mutex_);
+      std::unique_lock lock(all.owner.cluster_->mutex);
       if (Status status = all.met(*context, lock); !status.ok()) return status;
       if (all.leases.erase(request->id()) == 0)
         return {StatusCode::NOT_FOUND, "etcdserver: requested lease not found"};
-      all.owner.history_->end_lease(request->id());
-      all.head(*reply->mutable_header(), all.owner.history_->revision());
-      all.owner.changed_.notify_all();
+      all.owner.cluster_->history.end_lease(request->id());
+      all.head(*reply->mutable_header(), all.owner.cluster_->history.revision());
+      all.owner.cluster_->changed.notify_all();
       return Status::OK;
     }
     Status LeaseKeepAlive(
@@ -273,7 +273,7 @@
       while (stream->Read(&request)) {
         pb::LeaseKeepAliveResponse reply;
         {
-          std::unique_lock lock(all.owner.mutex_);
+          std::unique_lock lock(all.owner.cluster_->mutex);
           if (Status status = all.met(*context, lock); !status.ok()) return status;
           const auto found = all.leases.find(request.id());
           reply.set_id(request.id());
@@ -281,7 +281,7 @@
             found->second.until = std::chrono::steady_clock::now() + found->second.ttl;
             reply.set_ttl(found->second.ttl.count());
           }
-          all.head(*reply.mutable_header(), all.owner.history_->revision());
+          all.head(*reply.mutable_header(), all.owner.cluster_->history.revision());
         }
         if (!stream->Write(reply)) break;
       }
@@ -294,7 +294,7 @@
     explicit Authentication(Services& of) : all(of) {}
     Status Authenticate(grpc::ServerContext*, const pb::AuthenticateRequest* request,
                         pb::AuthenticateResponse* reply) override {
-      const std::lock_guard lock(all.owner.mutex_);
+      const std::lock_guard lock(all.owner.cluster_->mutex);
       ++all.owner.authentications;
       if (request->password() != all.owner.faults_.password)
         return {StatusCode::INVALID_ARGUMENT,
@@ -329,23 +329,23 @@
   std::unique_ptr<grpc::Server> server;
 };
 
-EtcdServer::EtcdServer(std::shared_ptr<EtcdHistory> history, int port)
-    : history_(std::move(history)), port_(port), services_(std::make_unique<Services>(*this)) {}
+EtcdServer::EtcdServer(std::shared_ptr<EtcdCluster> cluster, int port)
+    : cluster_(std::move(cluster)), port_(port), services_(std::make_unique<Services>(*this)) {}
 
 EtcdServer::~EtcdServer() {
   {
-    const std::lock_guard lock(mutex_);
+    const std::lock_guard lock(cluster_->mutex);
     ended_ = true;
-    changed_.notify_all();
+    cluster_->changed.notify_all();
   }
   services_->server->Shutdown(std::chrono::system_clock::now() + std::chrono::milliseconds(200));
   services_->server->Wait();
 }
 
 void EtcdServer::on(const std::function<void(EtcdHistory&)>& what) {
-  const std::lock_guard lock(mutex_);
-  what(*history_);
-  changed_.notify_all();
+  const std::lock_guard lock(cluster_->mutex);
+  what(cluster_->history);
+  cluster_->changed.notify_all();
 }
 void EtcdServer::put(const std::string& key, const std::string& value) {
   on([&](EtcdHistory& history) { history.put(key, value); });
@@ -354,14 +354,14 @@
   on([&](EtcdHistory& history) { history.remove(key); });
 }
 void EtcdServer::set(const Faults& faults) {
-  const std::lock_guard lock(mutex_);
+  const std::lock_guard lock(cluster_->mutex);
   faults_ = faults;
-  changed_.notify_all();
+  cluster_->changed.notify_all();
 }
 void EtcdServer::drop_watches() {
-  const std::lock_guard lock(mutex_);
+  const std::lock_guard lock(cluster_->mutex);
   ++generation_;
-  changed_.notify_all();
+  cluster_->changed.notify_all();
 }
 
 }  // namespace streampick::standin
--- a/src/standin/etcd/server.h
+++ b/src/standin/etcd/server.h
@@ -15,6 +15,13 @@
 
 namespace streampick::standin {
 
+// What the members of one cluster share.
+struct EtcdCluster {
+  EtcdHistory history;  // with the lock, once there is a server
+  std::mutex mutex;
+  std::condition_variable changed;
+};
+
 class EtcdServer {
  public:
   struct Faults {
@@ -29,8 +36,8 @@
     std::string password = {};     // set: calls need a token
     int token_calls = 0;           // a token serves for so many calls; 0: for good
   };
-  // `port` 0: any. Several servers may share one history.
-  explicit EtcdServer(std::shared_ptr<EtcdHistory> history = std::make_shared<EtcdHistory>(), int port = 0);
+  // `port` 0: any. Several servers may be of one cluster.
+  explicit EtcdServer(std::shared_ptr<EtcdCluster> cluster = std::make_shared<EtcdCluster>(), int port = 0);
   ~EtcdServer();
   EtcdServer(const EtcdServer&) = delete;
   EtcdServer& operator=(const EtcdServer&) = delete;
@@ -50,9 +57,7 @@
 
  private:
   struct Services;
-  std::shared_ptr<EtcdHistory> history_;
-  std::mutex mutex_;
-  std::condition_variable changed_;
+  std::shared_ptr<EtcdCluster> cluster_;
   Faults faults_;
   std::uint64_t generation_ = 0;
   bool ended_ = false;
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -11,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
+#include <string_view>
 #include <utility>
 
 namespace streampick::standin {
@@ -169,21 +171,29 @@
   const std::string config_path = folder_ + "/config.json", options_path = folder_ + "/options.toml";
   std::ofstream(config_path) << config.dump(1);
   std::ofstream(options_path) << options_toml;
+  // All that takes memory stands before the fork: in the child of a process with threads its locks may be
+  // held.
+  std::string own = "NODE_CONFIG=" + config_path;
+  std::vector<char*> environment;
+  for (char** one = ::environ; *one != nullptr; ++one)
+    if (std::string_view(*one).rfind("NODE_CONFIG=", 0) != 0) environment.push_back(*one);
+  environment.push_back(own.data());
+  environment.push_back(nullptr);
+  std::string named = program, option = "--options", file_name = options_path;
+  std::array<char*, 4> words{named.data(), nullptr, nullptr, nullptr};
+  if (!options_toml.empty()) words = {named.data(), option.data(), file_name.data(), nullptr};
   pid_ = ::fork();
   if (pid_ < 0) throw std::runtime_error("the router can't be started");
   if (pid_ == 0) {
-    ::setenv("NODE_CONFIG", config_path.c_str(), 1);
+    // It goes with whoever started it, also with one that crashes.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (!log.empty()) {
       const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
       ::dup2(file, 2);
     }
     // The parent's sockets are not the router's.
     for (int fd = 3; fd < 1024; ++fd) ::close(fd);
-    if (options_toml.empty())
-      ::execl(program.c_str(), program.c_str(), static_cast<char*>(nullptr));
-    else
-      ::execl(program.c_str(), program.c_str(), "--options", options_path.c_str(),
-              static_cast<char*>(nullptr));
+    ::execve(named.c_str(), words.data(), environment.data());
     ::_exit(127);
   }
 }
--- a/tests/roster/etcd/client_test.cpp
+++ b/tests/roster/etcd/client_test.cpp
@@ -95,8 +95,9 @@
                        [&](const std::string& line) { return line.find(part) != std::string::npos; });
   }
   std::size_t there() const { return reader.there.size(); }
-  void put(int from, int to) {
-    server.on([&](standin::EtcdHistory& history) {
+  void put(int from, int to) { put_into(server, from, to); }
+  static void put_into(standin::EtcdServer& to_server, int from, int to) {
+    to_server.on([&](standin::EtcdHistory& history) {
       for (int i = from; i < to; ++i) history.put(key(i), value(i));
     });
   }
@@ -174,10 +175,9 @@
 }
 
 TEST_F(EtcdClient, AHalfOpenSilenceIsNoticedAndTheNextMemberTakesOver) {
-  const auto history = std::make_shared<standin::EtcdHistory>();
-  standin::EtcdServer one(history), other(history);
-  history->put(key(0), value(0));
-  history->put(key(1), value(1));
+  const auto cluster = std::make_shared<standin::EtcdCluster>();
+  standin::EtcdServer one(cluster), other(cluster);
+  put_into(one, 0, 2);
   start({one.address(), other.address()});
   ASSERT_TRUE(wait_for([&] { return there() == 2 && one.open_watches + other.open_watches == 1; }));
   standin::EtcdServer& silent = one.open_watches == 1 ? one : other;
--- a/tests/roster/etcd/daemon_test.cpp
+++ b/tests/roster/etcd/daemon_test.cpp
@@ -52,10 +52,10 @@
 
 TEST(EtcdDaemon, NoDepartedCacheGetsNewWorkTwoSecondsAfterWeWereTold) {
   StandinFleet fleet(kCaches, 1ms);
-  const auto history = std::make_shared<standin::EtcdHistory>();
-  standin::EtcdServer one(history), other(history);
+  const auto cluster = std::make_shared<standin::EtcdCluster>();
+  standin::EtcdServer one(cluster), other(cluster);
   const auto key = [](std::size_t i) { return "/fleet/" + std::to_string(i); };
-  for (std::size_t i = 0; i <= kCaches; ++i) history->put(key(i), value(fleet.members[i]));
+  for (std::size_t i = 0; i <= kCaches; ++i) one.put(key(i), value(fleet.members[i]));
 
   boost::asio::io_context io;
   const std::string address = "127.0.0.1:" + std::to_string(standin::free_port(io));
