A departure told during a pause is tested with a list that comes late

Cause: with the list read at once the test passed also without holding new calls until it is in (seen by taking that out). Discovery in the tests can now tell new watches only, and late: without the hold the test fails; 3 of 3 with it.

--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -76,7 +76,13 @@
       : owner_(&owner), socket_(std::move(socket)), timer_(socket_.get_executor()) {}
   void start() {
     read();
-    write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(owner_->line_));
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    if (owner_->delay.count() == 0) return write(head + chunk(owner_->line_));
+    writing_ = true;
+    timer_.expires_after(owner_->delay);
+    timer_.async_wait([self = shared_from_this(), head](error_code cancelled) {
+      if (!cancelled && self->owner_ != nullptr) self->write(head + chunk(self->owner_->line_));
+    });
   }
   void tell(const std::string& line) {
     next_ += chunk(line);
@@ -142,10 +148,11 @@
   for (const auto& watch : watches_) watch->detach();
 }
 
-void StaticDiscovery::change(const std::vector<PlatformMember>& members) {
+void StaticDiscovery::change(const std::vector<PlatformMember>& members, bool to_new_only) {
   json list = member_list(members);
   list["revision"] = ++revision_;
   line_ = list.dump() + "\n";
+  if (to_new_only) return;
   for (const auto& watch : watches_) watch->tell(line_);
 }
 
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -34,10 +35,11 @@
   StaticDiscovery(const StaticDiscovery&) = delete;
   StaticDiscovery& operator=(const StaticDiscovery&) = delete;
   std::string address() const;
-  // The whole list from now on, written to every watch at once.
-  void change(const std::vector<PlatformMember>& members);
+  // The whole list from now on, written to every watch at once; `to_new_only`: to those that are begun from
+  // now on.
+  void change(const std::vector<PlatformMember>& members, bool to_new_only = false);
+  std::chrono::milliseconds delay{0};  // before a watch's first line
   std::size_t watches() const { return watches_.size(); }
-  std::size_t watches_begun = 0;
 
  private:
   class Watch;
--- a/tests/plugin/fleet.h
+++ b/tests/plugin/fleet.h
@@ -59,11 +59,13 @@
     });
     return all;
   }
-  // Tells the watches that this server goes.
-  void tell_leaves(std::size_t server) {
+  // Tells the watches that this server goes; with a delay only those that are begun from now on, so much
+  // later.
+  void tell_leaves(std::size_t server, std::chrono::milliseconds delay = {}) {
     on([&] {
       members.at(server).phase = "terminating";
-      discovery_->change(members);
+      discovery_->delay = delay;
+      discovery_->change(members, delay.count() > 0);
     });
   }
   std::size_t watches() {
--- a/tests/plugin/pause_test.cpp
+++ b/tests/plugin/pause_test.cpp
@@ -134,7 +134,7 @@
   host.stop_for(3'000ms, [&] {
     before = fleet.requests_at(0);
     EXPECT_GT(before, 0U);
-    fleet.tell_leaves(0);
+    fleet.tell_leaves(0, 200ms);  // the list takes its time, and calls wait for it
     fleet.delay(2ms);
   });
   const Report report = host.report();
