--- a/include/streampick/router.h
+++ b/include/streampick/router.h
@@ -128,6 +128,8 @@
   void on_result(Time now, const AttemptResult& result);
   void on_withdrawn(Time now, RequestId request);
   void on_wakeup(Time now);
+  // Whether a listed server gets nothing now because it seems ill, as when it was last looked at.
+  [[nodiscard]] bool avoids(ServerId server) const;
   [[nodiscard]] Time next_wakeup() const;  // kNever: nothing to wake for
 
  private:
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -10,17 +10,12 @@
 namespace {
 
 constexpr std::chrono::seconds kSummaryEvery{10};
+// Without a list from discovery the one that was known before the start has to do.
+constexpr std::chrono::seconds kReadyAtLast{3};
 
 }  // namespace
 
 #ifdef STREAMPICK_WITH_ETCD
-// The engine is there only once the sources are.
-struct Host::LateReader final : ListReader {
-  void list_came(const MemberList& list) override { engine->list_came(list); }
-  void list_failed() override { engine->list_failed(); }
-  Engine* engine = nullptr;
-};
-
 void Host::learn_from(const etcd::Options& options, std::uint64_t seed) {
   etcd_ = std::make_unique<etcd::EtcdRoster>(
       io_, names_, options, seed, sources_->second(), [this] { return sources_->told() == 0; },
@@ -29,22 +24,18 @@
 #endif
 
 Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings)
-    : io_(io), clock_(clock), names_(settings.settings.names), summary_timer_(io) {
+    : io_(io), clock_(clock), names_(settings.settings.names), ready_timer_(io), summary_timer_(io) {
   transports_ = std::make_unique<ServerTransports>(io_, clock_, links_, settings);
   begin(settings);
 }
 
 #ifdef STREAMPICK_WITH_OPTIONS
 Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings, const Options& options)
-    : io_(io), clock_(clock), names_(settings.settings.names), summary_timer_(io) {
+    : io_(io), clock_(clock), names_(settings.settings.names), ready_timer_(io), summary_timer_(io) {
   NodeSettings own = settings;
   transports_ = std::make_unique<ServerTransports>(io_, clock_, links_, own, options);
 #ifdef STREAMPICK_WITH_ETCD
-  if (options.etcd.on) {
-    to_engine_ = std::make_unique<LateReader>();
-    sources_ = std::make_unique<roster::Sources>(*to_engine_);
-  }
-  begin(own, sources_ ? &sources_->platform() : nullptr);
+  begin(own, options.etcd.on);
   if (options.etcd.on) learn_from(options.etcd, own.settings.seed);
 #else
   if (options.etcd.on)
@@ -60,12 +51,13 @@
 }
 #endif
 
-void Host::begin(const NodeSettings& settings, ListReader* lists) {
+void Host::begin(const NodeSettings& settings, [[maybe_unused]] bool two_sources) {
   descriptors_ = overload::Descriptors(descriptor_limits(settings));
   links_.descriptors = &descriptors_;
   links_.most_large = settings.memory_mb * (1024 * 1024 / 4);
   links_.parts_from = settings.overload.whole_answer;
   links_.longest_in_parts = settings.overload.longest_answer;
+  links_.whole_wait = settings.overload.whole_wait;
   links_.cancels = overload::CancelRules(settings.overload);
   links_.dial_time_out = settings.settings.config.dial_time_out;
   links_.free_a_connection = [this] {
@@ -74,16 +66,21 @@
     if (http_ && descriptors_.borrows(overload::Descriptors::Side::clients)) http_->give_one_back();
   };
   const Settings& told = settings.settings;
-  engine_ = std::make_unique<Engine>(clock_, EngineSettings{told.config, told.seed, told.drain_grace},
-                                     *transports_, [](std::string_view text) { log(text); });
+  engine_ = std::make_unique<Engine>(
+      clock_, EngineSettings{told.config, told.seed, told.drain_grace, {}, names_.classes}, *transports_,
+      [](std::string_view text) { log(text); });
   transports_->report_to(*engine_);
-  const bool must_ask = told.config.must_ask;
-  discovery_ = std::make_unique<Discovery>(io_, names_, settings.discovery, settings.known.revision,
-                                           !must_ask, told.seed, lists != nullptr ? *lists : *engine_);
-  engine_->start(*discovery_, settings.known);
+  lists_.to = engine_.get();
 #ifdef STREAMPICK_WITH_ETCD
-  if (lists != nullptr) to_engine_->engine = engine_.get();
+  if (two_sources) {
+    sources_ = std::make_unique<roster::Sources>(*engine_);
+    lists_.to = &sources_->platform();
+  }
 #endif
+  const bool must_ask = told.config.must_ask, passed = settings.passed_socket >= 0;
+  discovery_ = std::make_unique<Discovery>(
+      io_, names_, settings.discovery, passed ? 0 : settings.known.revision, !must_ask, told.seed, lists_);
+  engine_->start(*discovery_, settings.known);
   std::vector<bool> spared;
   for (const std::string& name : names_.classes)
     spared.push_back(std::find(settings.overload.spared.begin(), settings.overload.spared.end(), name) !=
@@ -91,17 +88,40 @@
   admission_ =
       std::make_unique<Admission>(io_, settings.overload, told.config, settings.cores, std::move(spared));
   http_ = std::make_unique<Clients>(io_, clock_, names_, *engine_, settings.listen, descriptors_,
-                                    settings.overload, *admission_);
+                                    settings.overload, *admission_, settings.passed_socket);
   engine_->add(*http_);
+  operators_ = std::make_unique<Operators>(io_, clock_, *engine_, links_, passed ? settings.scratch : "");
+  if (settings.management) operators_->listen(*settings.management);
+  // Beside a process that serves, requests wait at the door until this one can serve them as well.
+  if (!passed) http_->open_doors();
+  if (!passed && engine_->hosts().listed > 0) ready();
+  ready_timer_.expires_after(kReadyAtLast);
+  ready_timer_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (!cancelled && engine_->hosts().listed > 0) ready();
+  });
   if (!must_ask) discovery_->watch();
   every_ten_seconds();
 }
 
+// Beside a process that serves, the whole list is asked for: any first line of it will do.
+void Host::Lists::list_came(const MemberList& list) {
+  to->list_came(list);
+  host.ready();
+}
+
+void Host::ready() {
+  if (std::exchange(ready_, true)) return;
+  ready_timer_.cancel();
+  operators_->ready();
+  http_->open_doors();
+}
+
 // Fronts go first: what their connections would tell has nobody to hear it.
 Host::~Host() {
 #ifdef STREAMPICK_WITH_RESP
   resp_.reset();
 #endif
+  operators_.reset();
   http_.reset();
 #ifdef STREAMPICK_WITH_ETCD
   etcd_.reset();
--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "daemon/operators.h"
 #include "engine/engine.h"
 #include "http1/front.h"
 #include "net/clock.h"
@@ -45,6 +46,7 @@
   // Takes what a running router can take from a new configuration: the address of discovery.
   void reload(const NodeSettings& settings);
   boost::asio::ip::tcp::endpoint address() const { return http_->address(); }
+  Operators& operators() { return *operators_; }
   const Engine::Counts& counts() const { return engine_->counts(); }
   std::size_t servers() const { return engine_->servers(); }  // the most that were known at a time
   Links& links() { return links_; }
@@ -53,8 +55,17 @@
   std::string summary() const;
 
  private:
-  // `lists`: who hears the platform's lists, in place of the engine.
-  void begin(const NodeSettings& settings, ListReader* lists = nullptr);
+  // Hears the platform's lists first: the first whole one makes the router ready.
+  struct Lists final : ListReader {
+    explicit Lists(Host& owner) : host(owner) {}
+    void list_came(const MemberList& list) override;
+    void list_failed() override { to->list_failed(); }
+    Host& host;
+    ListReader* to = nullptr;
+  };
+  // `two_sources`: the platform's lists are one of two.
+  void begin(const NodeSettings& settings, bool two_sources = false);
+  void ready();
   void every_ten_seconds();
 
   boost::asio::io_context& io_;
@@ -67,13 +78,15 @@
   std::unique_ptr<Discovery> discovery_;
   std::unique_ptr<Admission> admission_;
   std::unique_ptr<Clients> http_;
+  std::unique_ptr<Operators> operators_;
+  Lists lists_{*this};
+  bool ready_ = false;
+  boost::asio::steady_timer ready_timer_;
 #ifdef STREAMPICK_WITH_RESP
   std::unique_ptr<resp::RespFront> resp_;
 #endif
 #ifdef STREAMPICK_WITH_ETCD
   void learn_from(const etcd::Options& options, std::uint64_t seed);
-  struct LateReader;
-  std::unique_ptr<LateReader> to_engine_;
   std::unique_ptr<roster::Sources> sources_;
   std::unique_ptr<etcd::EtcdRoster> etcd_;
 #endif
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -79,6 +79,7 @@
   out.path = std::getenv("NODE_CONFIG");
   if (out.path == nullptr || *out.path == '\0') throw std::runtime_error("NODE_CONFIG is not set");
   out.settings = node::load_settings(out.path);
+  node::apply(node::Environment::of_process(), out.settings);
 #ifdef STREAMPICK_WITH_OPTIONS
   if (!options_path.empty()) {
     out.options = node::load_options(options_path);
--- /dev/null
+++ b/src/daemon/operators.h
@@ -0,0 +1,55 @@
+// What operators ask and say, carried out on the engine, and shared with the process that replaces this one.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "control/overrides.h"
+#include "engine/engine.h"
+#include "management/dump.h"
+#include "management/front.h"
+#include "net/clock.h"
+#include "net/links.h"
+#include "takeover/shared_folder.h"
+
+namespace streampick::node {
+
+class Operators final {
+ public:
+  // `folder`: where the process after this one finds what was said; empty: nowhere.
+  Operators(boost::asio::io_context& io, Clock& clock, Engine& engine, Links& links,
+            const std::string& folder);
+
+  // Throws boost::system::system_error when the address can't be listened on.
+  void listen(const boost::asio::ip::tcp::endpoint& address);
+  std::optional<boost::asio::ip::tcp::endpoint> address() const;
+
+  void ready() { ready_ = true; }
+  void reconfigured(bool ok) { ++(ok ? reconfig_ok_ : reconfig_failed_); }
+  // The answer to a call, with the ends of its lines.
+  std::string answer(const management::Call& call);
+  management::Dump dump() const;
+
+ private:
+  void change(const std::function<void(control::Overrides&)>& what);
+  void take(control::Overrides next);
+  void look_for_news();
+  std::string leave_out(const std::string& id);
+  std::string call_back(const std::string& id);
+
+  boost::asio::io_context& io_;
+  Clock& clock_;
+  Engine& engine_;
+  Links& links_;
+  control::Overrides overrides_;
+  std::optional<takeover::SharedFolder> shared_;
+  boost::asio::steady_timer look_;
+  std::unique_ptr<management::OperatorsFront> front_;
+  bool ready_ = false;
+  std::uint64_t reconfig_ok_ = 0, reconfig_failed_ = 0;
+};
+
+}  // namespace streampick::node
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -46,6 +46,8 @@
       second_(time.timer([this] { every_second(); })),
       drain_timer_(time.timer([this] { end_drain(); })) {
   for (const RequestClass& kind : settings.config.classes) patience_.push_back(kind.deadline);
+  for (std::size_t i = 0; i < settings.config.classes.size(); ++i)
+    ends_.push_back(figures_.of(i < settings.classes.size() ? settings.classes[i] : ""));
   router_.emplace(settings.config, settings.seed, time_.now(), *this);
 }
 
@@ -132,6 +134,7 @@
   open.key = incoming.key;
   open.asked = now;
   open.message = std::move(incoming.message);
+  open.ticket = figures_.begin(ends_.at(incoming.request_class));
   // A router told to stop is killed in the end: what it still takes must be answered before that.
   const Time gives_up = std::min(now + incoming.remaining, drain_end_);
   open.deadline = gives_up - std::min(kAnswerTakes, incoming.remaining / 10);
@@ -160,11 +163,16 @@
   ++counts_.withdrawn;
   found->second.over = true;
   found->second.asker.reset();
+  found->second.ticket = {};
   router_->on_withdrawn(time_.now(), request);
   forget_if_done(request);
   settle();
 }
 
+void Engine::turned_away(std::uint32_t request_class) {
+  if (request_class < ends_.size()) Figures::turned_away(ends_[request_class]);
+}
+
 // The one place where a request ends with an answer: nothing is sent for one that is over.
 void Engine::answer(RequestId request, Reply reply) {
   const auto found = requests_.find(request);
@@ -176,6 +184,10 @@
                                                         [](const Attempt& attempt) { return attempt.live; });
   reply.absent = open.absent;
   reply.why = std::move(open.why);
+  reply.ticket = std::move(open.ticket);
+  reply.ticket.becomes(reply.kind == Reply::Kind::served    ? Figures::End::success
+                       : reply.kind == Reply::Kind::refused ? Figures::End::busy
+                                                            : Figures::End::failure);
   const std::uint64_t tag = open.tag;
   if (asker) asker->reply(tag, std::move(reply));
   ended_.push_back({{request, kNone}, Outcome::not_sent});  // to be looked at once the module is done
@@ -455,11 +467,12 @@
     if (listed.member.phase == Phase::gone && !ids_.contains(listed.id)) continue;
     const ServerId id = intern(listed);
     Server& server = servers_[id];
-    Member member = listed.member;
-    member.id = id;
+    server.told = listed.member;
+    server.told.id = id;
     if (id < named.size()) named[id] = true;
     server.transport->set_address(listed.address);
     server.listed = true;
+    const Member member = as_ruled(id);
     if (member.phase == Phase::ready) {
       server.transport->send_nothing_from(kNever);
     } else {
@@ -482,16 +495,82 @@
 
 void Engine::list_came(const MemberList& list) {
   catch_up();
+  list_lost_ = false;
   apply(list.complete ? Update::full : Update::changes, list);
   settle();
 }
 
 void Engine::list_failed() {
   catch_up();
+  list_lost_ = true;
   router_->on_members(time_.now(), Update::failed, {});
   settle();
 }
 
+// ---- Operators
+
+// What the list says, with what operators say against it.
+Member Engine::as_ruled(ServerId server) const {
+  Member out = servers_[server].told;
+  const auto found = by_hand_.find(servers_[server].name);
+  if (found == by_hand_.end()) return out;
+  if (found->second.out && out.phase == Phase::ready) out.phase = Phase::draining;
+  out.started = std::max(out.started, found->second.started);
+  return out;
+}
+
+void Engine::leave_out(const std::string& name, bool out, Time started) {
+  catch_up();
+  if (out || started > 0) {
+    by_hand_[name] = {out, started};
+  } else {
+    by_hand_.erase(name);
+  }
+  const auto found = ids_.find(name);
+  if (found == ids_.end() || !servers_[found->second].listed) return;
+  const ServerId id = found->second;
+  Server& server = servers_[id];
+  const Member member = as_ruled(id);
+  if (out) {
+    // From the yes on, and not only after the grace: what waits for its connection goes elsewhere.
+    if (server.transport->nothing_from() > time_.now()) server.transport->send_nothing_from(time_.now());
+    server.transport->close_idle(kNever);
+  } else if (member.phase == Phase::ready) {
+    server.transport->send_nothing_from(kNever);
+  }
+  router_->on_members(time_.now(), Update::changes, {&member, 1});
+  // This was no news from the source: where it has to be asked, that goes on.
+  if (list_lost_) router_->on_members(time_.now(), Update::failed, {});
+  settle();
+}
+
+bool Engine::knows(const std::string& name) const {
+  const auto found = ids_.find(name);
+  return found != ids_.end() && servers_[found->second].listed && !servers_[found->second].source;
+}
+
+bool Engine::is_source(const std::string& name) const {
+  const auto found = ids_.find(name);
+  return found != ids_.end() && servers_[found->second].source;
+}
+
+Engine::Hosts Engine::hosts() const {
+  Hosts out;
+  for (ServerId id = 0; id < servers_.size(); ++id) {
+    const Server& server = servers_[id];
+    if (!server.transport || !server.listed || server.source) continue;
+    ++out.listed;
+    const auto found = by_hand_.find(server.name);
+    if ((found != by_hand_.end() && found->second.out) || router_->avoids(id)) ++out.down;
+  }
+  return out;
+}
+
+void Engine::send_clients_away(bool away) {
+  if (std::exchange(clients_away_, away) == away || drain_end_ != kNever) return;
+  for (Front* front : fronts_) away ? front->drain() : front->end_drain();
+}
+
 // What a server lacked and the source then gave. Off the request's way: the transport queues it, within a
 // bound, and drops what it has no room for.
 void Engine::store_back(const Open& open, const Answer& answer) {
@@ -539,6 +618,7 @@
   done_ = std::move(done);
   accept_end_ = time_.now() + kAcceptAfterTerm;
   drain_end_ = time_.now() + kAnswerAfterTerm;
+  for (Front* front : fronts_) front->stopping();
   drain_fronts();
   drain_timer_->set(accept_end_);
 }
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -34,6 +34,8 @@
   // Set: where nothing is open, and it says that no connection is either, nobody is woken. What fell due
   // meanwhile is made up for with the next request.
   std::function<bool()> rests = {};
+  // Names of the classes, for the figures; none: not told, and counted under no name.
+  std::vector<std::string> classes = {};
 };
 
 class Engine final : public ActionSink, public Requests, public ListReader, public Outcomes {
@@ -62,6 +64,22 @@
   // Closes the connection that has been idle for longest at some server; false: there was none.
   bool free_a_connection();
   const Counts& counts() const { return counts_; }
+  const Figures& figures() const { return figures_; }
+
+  // ---- Operators
+  // Leaves a cache server out, from now on and whatever lists say, or uses it again; then it counts as
+  // started at `started` unless a list tells of a later start. 0: as listed.
+  void leave_out(const std::string& name, bool out, Time started);
+  // Whether a list names it, and it is no source of all values.
+  bool knows(const std::string& name) const;
+  bool is_source(const std::string& name) const;
+  struct Hosts {
+    std::size_t listed = 0, down = 0;  // down: of these, avoided by hand or by the module's choice
+  };
+  Hosts hosts() const;
+  // Sends clients away, or takes them again; the router goes on serving.
+  void send_clients_away(bool away);
+
   std::size_t servers() const { return servers_.size(); }  // the most that were known at a time
   // The counts in one line, with `also` in their midst.
   std::string summary(const std::string& also) const;
@@ -76,6 +94,7 @@
 
   RequestId asked(const std::shared_ptr<Asker>& asker, Incoming incoming) override;
   void withdrawn(RequestId request) override;
+  void turned_away(std::uint32_t request_class) override;
   void list_came(const MemberList& list) override;
   void list_failed() override;
   void attempt_ended(AttemptId attempt, Outcome outcome, Answer answer) override;
@@ -92,6 +111,7 @@
     std::uint64_t tag = 0, txn = 0, key = 0;
     Time asked = 0, deadline = 0, guard = 0;
     std::string why;
+    Figures::Ticket ticket;
     boost::container::small_vector<Attempt, 4> attempts;
     bool over = false, may_have_run = false, absent = false;
     bool moved = false;  // its deadline is not the one that the module was told
@@ -103,6 +123,11 @@
     std::unique_ptr<Transport> transport;  // none: the id is free
     std::size_t live = 0;                  // attempts
     bool listed = false, source = false;
+    Member told = {};  // as the list has it
+  };
+  struct ByHand {
+    bool out = false;
+    Time started = 0;
   };
   // Something to report to the module once it is not in a call.
   struct Ended {
@@ -120,6 +145,7 @@
 
   ServerId intern(const Listed& listed);
   void apply(Update update, const MemberList& list);
+  Member as_ruled(ServerId server) const;
   void depart(ServerId server, bool gone);
   void answer(RequestId request, Reply reply);
   void store_back(const Open& open, const Answer& answer);
@@ -155,6 +181,11 @@
   std::vector<Server> servers_;
   std::vector<ServerId> free_ids_;
   std::unordered_map<std::string, ServerId> ids_;
+  std::unordered_map<std::string, ByHand> by_hand_;  // what operators said of servers
+  bool list_lost_ = false;                           // the source ended since its last list
+  bool clients_away_ = false;
+  Figures figures_;
+  std::vector<Figures::Ends*> ends_;             // by class
   std::pmr::unsynchronized_pool_resource pool_;  // of the maps: entries come and go with every request
   std::pmr::unordered_map<RequestId, Open> requests_{&pool_};
   std::pmr::unordered_set<std::uint64_t> txns_{&pool_};  // of the open ones, and of the last to end
--- a/src/engine/front.h
+++ b/src/engine/front.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "engine/figures.h"
 #include "engine/message.h"
 
 namespace streampick::node {
@@ -30,6 +31,8 @@
   Time retry_after = 0;       // of a refusal; 0: no advice
   std::string why = {};       // a server's own words for what is wrong with the request; most often empty
   Answer answer = {};         // of a request that was served
+  // The request counts as ended when this goes: who writes the answer keeps it until it is out.
+  Figures::Ticket ticket = {};
 };
 
 // One who asked, as the engine sees it. `reply` comes once for each request, perhaps from within
@@ -48,6 +51,8 @@
   // Returns the id that the request is known by from here on; 0: one with its txn is still open.
   virtual RequestId asked(const std::shared_ptr<Asker>& asker, Incoming incoming) = 0;
   virtual void withdrawn(RequestId request) = 0;
+  // One of the class was turned away unread, and never asked.
+  virtual void turned_away(std::uint32_t /*request_class*/) {}
 };
 
 // What a front is told.
@@ -56,6 +61,11 @@
   virtual ~Front() = default;
   // From now on every answer ends its connection, and idle connections are closed.
   virtual void drain() = 0;
+  // The process is to end: drain() follows. Where other processes accept from the same socket, nothing more
+  // is accepted here.
+  virtual void stopping() {}
+  // A drain ends: all is as before it.
+  virtual void end_drain() {}
   virtual void stop_accepting() = 0;
   virtual std::size_t unanswered() const = 0;  // clients with a request, or an answer not yet written
   virtual std::size_t open() const = 0;        // connections
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -50,18 +50,23 @@
   Time retry_after = 0;  // 0: no advice
   Lease lease = {};
   BodyReader stream = {};  // the body, where it comes in parts
+  Figures::Ticket ticket = {};
 };
 
 Response response_for(Reply reply) {
+  Response out;
   switch (reply.kind) {
     case Reply::Kind::served:
-      return {200, std::move(reply.answer.content_type), std::move(reply.answer.body),
-              0,   std::move(reply.answer.lease),        std::move(reply.answer.stream)};
+      out = {200, std::move(reply.answer.content_type), std::move(reply.answer.body),
+             0,   std::move(reply.answer.lease),        std::move(reply.answer.stream)};
+      break;
     case Reply::Kind::refused:
-      return {503, "text/plain", "refused; it is safe to try again\n", reply.retry_after, {}};
-    case Reply::Kind::failed: break;
+      out = {503, "text/plain", "refused; it is safe to try again\n", reply.retry_after, {}};
+      break;
+    case Reply::Kind::failed: out = {reply.late ? 504U : 502U, "text/plain", "failed\n", 0, {}}; break;
   }
-  return {reply.late ? 504U : 502U, "text/plain", "failed\n", 0, {}};
+  out.ticket = std::move(reply.ticket);
+  return out;
 }
 
 Response problem(unsigned status, std::string_view why) {
@@ -190,6 +195,7 @@
     error_code ignored;
     socket_.close(ignored);
     lease_ = {};
+    ticket_ = {};
     stream_.reset();
     const RequestId gone = state_ == State::asked ? std::exchange(request_, 0) : 0;
     const auto self = shared_from_this();
@@ -303,6 +309,7 @@
     const std::uint64_t id = hash_name(head_.txn.value);
     if (!owner_->admission_.refuses(request_class, *remaining, id)) return false;
     ++owner_->counts_.shed;
+    owner_->requests_.turned_away(request_class);
     // A body that is still to come would have to be read first.
     last_ = !parser_->is_done() || !parser_->keep_alive();
     answer({503,
@@ -346,6 +353,7 @@
       last_ = true;
       ++owner_->counts_.once;
     }
+    ticket_ = std::move(reply.ticket);
     stream_ = std::move(reply.stream);
     in_chunks_ = stream_ && !stream_->length() && head_.version != 10;
     // Where nothing else marks the end of a body, the connection's does.
@@ -427,6 +435,7 @@
         return true;
       case BodyStream::State::cut: break;
     }
+    ticket_.becomes(Figures::End::failure);
     // The client must see that it is not whole, also where the end of the connection is the body's: by a
     // reset.
     error_code ignored;
@@ -444,6 +453,7 @@
     if (owner_ == nullptr) return;
     std::string().swap(out_body_);
     lease_ = {};
+    ticket_ = {};
     if (last_) {
       // A close with unread bytes would reset the connection and could take the answer with it: the
       // client is given the time to end it first.
@@ -465,7 +475,8 @@
   RequestHead head_;
   std::string in_body_, out_head_, out_body_;
   std::optional<RequestReader> parser_;
-  Lease lease_;        // of the answer's body
+  Lease lease_;  // of the answer's body
+  Figures::Ticket ticket_;
   BodyReader stream_;  // the rest of it, where it comes in parts
   RequestId request_ = 0;
   Time since_;  // the last change of state
@@ -479,16 +490,15 @@
 
 Clients::Clients(asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
                  const tcp::endpoint& listen, overload::Descriptors& descriptors,
-                 const overload::Settings& limits, Admission& admission)
+                 const overload::Settings& limits, Admission& admission, int passed)
     : clock_(clock),
       names_(names),
       requests_(requests),
-      listener_(io, listen, *this),
+      listener_(passed < 0 ? Listener(io, listen, *this) : Listener(io, passed, listen, *this)),
       sweep_(io),
       descriptors_(descriptors),
       rules_(descriptors.total(), limits),
       admission_(admission) {
-  listener_.go_on();
   sweep();
 }
 
@@ -564,13 +574,33 @@
 
 void Clients::drain() {
   draining_ = true;
+  if (!gentle_) close_idle(0);
+}
+
+// Who takes over serves at the same door. A request that crosses the close of its connection would have to
+// come again: each connection is let ask once more, and is ended behind the answer.
+void Clients::stopping() {
+  if (!listener_.shared()) return;
+  listener_.stop();
+  gentle_ = true;
+}
+
+void Clients::end_drain() { draining_ = false; }
+
+// Those that have stood between requests for so long, or came so long ago and said nothing.
+void Clients::close_idle(Time longest) {
+  const Time now = clock_.now();
   for (const State state : {State::fresh, State::idle}) {
     const Queue all = queue(state);
-    for (const auto& session : all) session->close_if_idle();
+    for (const auto& session : all)
+      if (now - session->since() >= longest) session->close_if_idle();
   }
 }
 
-void Clients::stop_accepting() { listener_.stop(); }
+void Clients::stop_accepting() {
+  listener_.stop();
+  gentle_ = false;
+}
 
 void Clients::sweep() {
   const Time now = clock_.now();
@@ -585,6 +615,8 @@
       ++counts_.expired;
       session->expire();
     }
+  // Connections go on coming for a little, and some say nothing.
+  if (draining_ && !gentle_) close_idle(kSecond);
   sweep_.expires_after(kSweepEvery);
   sweep_.async_wait([this](error_code cancelled) {
     if (!cancelled) sweep();
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -36,17 +36,21 @@
     std::uint64_t left = 0;     // clients that ended a connection with a request in work
   };
 
-  // Throws boost::system::system_error when the address can't be listened on.
+  // Throws boost::system::system_error when the address can't be listened on. `passed`: a descriptor that
+  // listens there already, held by other processes too; -1: none. Accepts from open_doors() on.
   Clients(boost::asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
           const boost::asio::ip::tcp::endpoint& listen, overload::Descriptors& descriptors,
-          const overload::Settings& limits, Admission& admission);
+          const overload::Settings& limits, Admission& admission, int passed = -1);
   ~Clients() override;
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
 
   boost::asio::ip::tcp::endpoint address() const { return listener_.address(); }
+  void open_doors() { listener_.go_on(); }
   // From now on every answer ends its connection, and idle connections are closed.
   void drain() override;
+  void stopping() override;
+  void end_drain() override;
   void stop_accepting() override;
   std::size_t unanswered() const override;
   std::size_t open() const override { return open_; }
@@ -72,6 +76,7 @@
   // Connections with a request in work, or between two.
   std::size_t held() const;
   void closed(Queue::iterator place, State state);
+  void close_idle(Time longest);
   void sweep();  // ends what has stood still for too long
 
   Clock& clock_;
@@ -88,6 +93,7 @@
   MessagePool messages_;
   std::array<Queue, 6> queues_;
   bool draining_ = false;
+  bool gentle_ = false;  // clients' connections may ask once more, though we drain
 };
 
 }  // namespace streampick::node
--- a/src/http1/transport.cpp
+++ b/src/http1/transport.cpp
@@ -144,6 +144,7 @@
       }
     }
     writing_ = false;
+    ++owner_->links_.written_whole;
     if (early_) written(false);
   }
 
@@ -218,6 +219,7 @@
                            : std::nullopt;
           if (lease) {
             lease_ = std::move(*lease);
+            pass_on_after(owner_->links_.whole_wait);
           } else if (!begin_parts()) {
             return spoilt("no memory for its body, or too long");
           }
@@ -242,6 +244,17 @@
     }
   }
 
+  // What is long and slow is not waited for: its client is owed the first bytes.
+  void pass_on_after(Time wait) {
+    timer_.expires_after(std::chrono::microseconds(wait));
+    timer_.async_wait([self = shared_from_this(), attempt = job_->attempt](error_code cancelled) {
+      if (cancelled || self->owner_ == nullptr || !self->job_ || self->stream_ || self->drained_ ||
+          !(self->job_->attempt == attempt) || !self->header_seen_)
+        return;
+      if (self->begin_parts()) self->pass_on();
+    });
+  }
+
   // From here on what comes of the body is passed on. The attempt has its answer: what happens to the rest
   // happens to an answer that the client has begun to read.
   bool begin_parts() {
--- a/src/net/links.h
+++ b/src/net/links.h
@@ -31,7 +31,8 @@
   // A body over this many bytes is passed on as it comes, and so is one that there is no memory for; what is
   // read whole can be asked for again when it breaks. And the longest that is passed on at all.
   std::size_t parts_from = 1024 * 1024;
-  std::uint64_t longest_in_parts = 1024 * 1024;
+  std::uint64_t longest_in_parts = 32ULL * 1024 * 1024;
+  Time whole_wait = 40'000;  // us that a long body is waited for, to read it whole
   struct Streams {
     std::uint64_t begun = 0, cut = 0, left = 0;
     std::size_t open = 0;
@@ -59,6 +60,7 @@
   } drains;
   Time dial_time_out = 0;
   std::uint64_t dials = 0;
+  std::uint64_t written_whole = 0;  // attempts whose last byte went out
   // Called when the descriptors for servers are used up: closes what is idle, to a server or of a client.
   std::function<void()> free_a_connection = [] {};
 };
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,5 +1,7 @@
 #include "net/listener.h"
 
+#include <fcntl.h>
+
 #include <utility>
 
 #include "net/log.h"
@@ -15,6 +17,13 @@
   acceptor_.non_blocking(true);
 }
 
+Listener::Listener(asio::io_context& io, int listening, const tcp::endpoint& address, Owner& owner)
+    : io_(io), owner_(owner), acceptor_(io), pause_(io), shared_(true) {
+  acceptor_.assign(address.protocol(), listening);
+  acceptor_.non_blocking(true);
+  ::fcntl(listening, F_SETFD, FD_CLOEXEC);
+}
+
 void Listener::go_on() {
   if (accepting_ || pausing_ || !acceptor_.is_open()) return;
   // At the limit the next ones wait in the listener's queue until there is room.
@@ -53,7 +62,7 @@
 
 void Listener::stop() {
   error_code error;
-  while (acceptor_.is_open() && !owner_.is_full()) {
+  while (!shared_ && acceptor_.is_open() && !owner_.is_full()) {
     tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (error) break;
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -24,11 +24,16 @@
 
   // Throws boost::system::system_error when the address can't be listened on. Accepts from go_on() on.
   Listener(asio::io_context& io, const tcp::endpoint& address, Owner& owner);
+  // On a socket that listens already and that other processes hold too: what waits in its queue is theirs as
+  // much as ours.
+  Listener(asio::io_context& io, int listening, const tcp::endpoint& address, Owner& owner);
 
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
   // Accepts the next, if nothing stands against it. To be called when a place has come free.
   void go_on();
-  // Takes what the kernel has accepted, which counts as ours, as far as there is room, and closes.
+  bool shared() const { return shared_; }
+  // Takes what the kernel has accepted, which counts as ours unless the socket is shared, as far as there is
+  // room, and closes.
   void stop();
 
  private:
@@ -39,7 +44,7 @@
   Owner& owner_;
   tcp::acceptor acceptor_;
   asio::steady_timer pause_;
-  bool accepting_ = false, pausing_ = false;
+  bool accepting_ = false, pausing_ = false, shared_ = false;
 };
 
 }  // namespace streampick::node
--- a/src/overload/settings.h
+++ b/src/overload/settings.h
@@ -22,9 +22,11 @@
   long long late = 60'000;
   double busy = 0.97;
   std::vector<std::string> spared = {};  // classes that are never turned away for it
-  // Answers longer than this are passed on as they come, and none that is longer than the other.
+  // Answers longer than this are passed on as they come, and none that is longer than the other. A shorter
+  // one is too once it has been coming for so long, in us.
   std::size_t whole_answer = 1024 * 1024;
-  unsigned long long longest_answer = 1024 * 1024;
+  unsigned long long longest_answer = 32ULL * 1024 * 1024;
+  long long whole_wait = 40'000;
 };
 
 }  // namespace streampick::overload
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -1,6 +1,11 @@
 #include "platform/node_settings.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
+#include <charconv>
+#include <cstdlib>
+#include <cstring>
 #include <fstream>
 #include <iterator>
 #include <limits>
@@ -97,6 +102,7 @@
   if (const auto name = config.find("name")) out.name = name->text("a text");
   out.listen = endpoint(config, "listen");
   out.discovery = endpoint(config, "discovery");
+  if (config.find("management")) out.management = endpoint(config, "management");
   if (const auto seed = config.find("seed")) out.settings.seed = parse_seed(*seed);
   out.sockets = kSocketsUnlessTold;
   out.memory_mb = kMemoryMbUnlessTold;
@@ -109,6 +115,49 @@
   return out;
 }
 
+Environment Environment::of_process() {
+  const auto told = [](const char* name) {
+    const char* value = std::getenv(name);
+    return std::string(value != nullptr ? value : "");
+  };
+  return {told("NODE_MANAGEMENT"), told("NODE_PASSED_SOCKET"), told("TMPDIR")};
+}
+
+void apply(const Environment& environment, NodeSettings& settings) {
+  if (!environment.management.empty()) {
+    settings.management = parse_endpoint(environment.management);
+    if (!settings.management)
+      throw std::runtime_error("NODE_MANAGEMENT: there is '" + environment.management.substr(0, 60) +
+                               "', expected an address and a port, as 10.0.0.4:15000");
+  }
+  settings.scratch = environment.scratch;
+  const std::string& passed = environment.passed_socket;
+  if (passed.empty()) return;
+  int number = -1;
+  const auto read = std::from_chars(passed.data(), passed.data() + passed.size(), number);
+  const auto wrong = [&](const std::string& why) {
+    throw std::runtime_error("NODE_PASSED_SOCKET: there is '" + passed.substr(0, 60) + "', " + why);
+  };
+  if (read.ec != std::errc{} || read.ptr != passed.data() + passed.size() || number < 3)
+    wrong("expected the number of an open descriptor from 3 on");
+  int listens = 0;
+  socklen_t size = sizeof listens;
+  if (::getsockopt(number, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0)
+    wrong("which is no listening socket");
+  sockaddr_storage address{};
+  size = sizeof address;
+  tcp::endpoint at;
+  if (::getsockname(number, reinterpret_cast<sockaddr*>(&address), &size) != 0 || size > at.capacity())
+    wrong("whose address can't be had");
+  std::memcpy(at.data(), &address, size);
+  at.resize(size);
+  if (at.port() != settings.listen.port() ||
+      (at.address() != settings.listen.address() && !at.address().is_unspecified()))
+    wrong("which listens on " + at.address().to_string() + ":" + std::to_string(at.port()) +
+          " and not on the address of listen");
+  settings.passed_socket = number;
+}
+
 NodeSettings load_settings(const std::string& path) {
   std::ifstream file(path);
   if (!file) throw std::runtime_error("cannot read the configuration '" + path + "'");
--- a/src/platform/node_settings.h
+++ b/src/platform/node_settings.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,9 @@
   Settings settings;
   std::string name;
   boost::asio::ip::tcp::endpoint listen, discovery;
+  std::optional<boost::asio::ip::tcp::endpoint> management;  // the operators'; none: nothing listens
+  int passed_socket = -1;   // the clients' listening socket, that the platform holds; -1: we make our own
+  std::string scratch;      // a folder that the process after us finds as we left it; empty: there is none
   std::size_t sockets = 0;  // file descriptors this process may hold
   std::size_t memory_mb = 0;
   double cores = 1;  // of the processor, at most
@@ -27,7 +31,15 @@
 // listeners, discovery and the loop.
 overload::Descriptors::Limits descriptor_limits(const NodeSettings& settings);
 
-// Both throw std::runtime_error with one line that says what is wrong.
+// What the environment says, which is this process's own: it goes before the file, which may be shared with
+// the process that is to be replaced.
+struct Environment {
+  std::string management, passed_socket, scratch;  // empty: not told
+  static Environment of_process();
+};
+void apply(const Environment& environment, NodeSettings& settings);
+
+// All throw std::runtime_error with one line that says what is wrong.
 NodeSettings load_settings(const std::string& path);
 NodeSettings parse_settings(const std::string& json);
 
--- a/src/policy/execution.h
+++ b/src/policy/execution.h
@@ -11,9 +11,8 @@
 inline constexpr double kCopyBudget = 0.15;     // copies per first attempt, over time
 inline constexpr double kCopyBudgetBurst = 2;   // ... and how many are saved up: for each server, shared
 
-inline constexpr double kFullWaitPerAim =
-    0.5;                                     // longest wait while all servers are full, as a share of the aim
-inline constexpr double kRetryBudget = 0.5;  // sends after one that may have run, per first attempt
+inline constexpr double kFullWaitPerAim = 0.5;  // longest wait while all are full, as a share of the aim
+inline constexpr double kRetryBudget = 0.5;     // sends after one that may have run, per first attempt
 
 struct Execution : Servers {
   using Servers::Servers;
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -141,11 +141,8 @@
   // All but what is in flight, and its place in the plan.
   static void forget(Server& server) {
     Server fresh;
-    fresh.in_flight = server.in_flight;
-    fresh.stuck = server.stuck;
-    fresh.answers = server.answers;
-    fresh.planned = server.planned;
-    fresh.counted = server.counted;
+    std::tie(fresh.in_flight, fresh.stuck, fresh.answers, fresh.planned, fresh.counted) =
+        std::tie(server.in_flight, server.stuck, server.answers, server.planned, server.counted);
     server = fresh;
   }
 
@@ -214,6 +211,7 @@
 void Router::on_result(Time now, const AttemptResult& result) { impl_->on_result(now, result); }
 void Router::on_withdrawn(Time now, RequestId request) { impl_->on_withdrawn(now, request); }
 void Router::on_wakeup(Time now) { impl_->on_wakeup(now); }
+bool Router::avoids(ServerId id) const { return impl_->servers_.at(id).planned && impl_->servers_[id].off; }
 Time Router::next_wakeup() const { return impl_->next_wakeup(); }
 
 }  // namespace streampick
--- a/tests/http1/parts_test.cpp
+++ b/tests/http1/parts_test.cpp
@@ -79,6 +79,36 @@
   EXPECT_EQ(cache.peers.size(), 1U);
 }
 
+// Short enough to be read whole, but slow: the client is owed its first bytes.
+TEST_F(Parts, AMiddleSizedAnswerThatComesSlowlyIsPassedOnAsItComes) {
+  start();
+  const std::string body = pattern(300'000);
+  const auto one = client();
+  one->ask(a_read());
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  cache.peers[0]->write(head(body.size()) + body.substr(0, 1'000));
+  ASSERT_TRUE(wait_for([&] { return one->peer->got.size() > 1'000; }));
+  EXPECT_TRUE(one->answers.empty());
+  cache.peers[0]->write(body.substr(1'000));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->body(), body);
+}
+
+TEST_F(Parts, AnAnswerOf32MiBIsPassedOnWithoutBeingSetFree) {
+  start();
+  const std::string body = pattern(32 << 20);
+  const auto one = client();
+  one->ask(a_read());
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  const std::string answer = head(body.size()) + body;
+  bool out = false;
+  asio::async_write(cache.peers[0]->socket, asio::buffer(answer),
+                    [&](error_code error, std::size_t) { out = !error; });
+  ASSERT_TRUE(wait_for([&] { return out && one->answers.size() == 1; }));
+  EXPECT_TRUE(one->body() == body);
+  EXPECT_EQ(*host->links().large, 0U);
+}
+
 TEST_F(Parts, ASlowReaderHoldsTheServerBackAndWhatWaitsIsBounded) {
   begin();
   const std::string body = pattern(48 << 20);
--- /dev/null
+++ b/tests/management/operators_test.cpp
@@ -0,0 +1,278 @@
+// Operators at work on a running router: calls, figures, cache servers out by hand, drains.
+#include "loopback.h"
+
+namespace streampick::node::test {
+namespace {
+
+using json = nlohmann::json;
+
+class Managed : public Loopback {
+ protected:
+  void begin(const std::vector<MemberText>& members) { begin_with(list_json(1, true, members)); }
+  void begin() {
+    begin_with(list_json(1, true,
+                         {{"s-cache", cache.address()},
+                          {"s-second", second.address()},
+                          {"s-origin", origin.address(), "origin"}}));
+  }
+  void begin_with(const nlohmann::json& known) {
+    settings = parse_settings(config_json(text_of(discovery.local_endpoint()), known).dump());
+    auto& listen = settings.management.emplace();
+    listen = any_port();
+    host = std::make_unique<Host>(io, clock, settings);
+  }
+  // What is answered to these bytes by the connection's end.
+  std::string says(const std::string& bytes, bool half_close = false) {
+    Caller caller(io, *host->operators().address());
+    caller.peer->write(bytes);
+    error_code ignored;
+    if (half_close) caller.peer->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    EXPECT_TRUE(wait_for([&] { return caller.peer->ended; }));
+    return caller.peer->got;
+  }
+  std::string call(const std::string& line) { return says(line + "\n"); }
+  json figures() {
+    const std::string text = call("DUMP");
+    EXPECT_EQ(text.substr(text.find('\n')), "\n--\n");
+    return json::parse(text.substr(0, text.find('\n')));
+  }
+  struct Caller {
+    Caller(asio::io_context& io, const tcp::endpoint& to) {
+      tcp::socket socket(io);
+      socket.connect(to);
+      peer = std::make_shared<Peer>(std::move(socket));
+      peer->read([](Peer&) {});
+    }
+    ~Caller() {
+      peer->muted = true;
+      peer->close();
+    }
+    std::shared_ptr<Peer> peer;
+  };
+  int up() {
+    const auto one = client();
+    one->ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n");
+    EXPECT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+    return one->answers.empty() ? 0 : one->status();
+  }
+  std::string read_of(int key) { return request_text("GET", "/read/" + std::to_string(key), "read"); }
+  // Asks for so many keys, one after the other, on one connection.
+  void ask_for(int keys) {
+    const auto one = client();
+    for (int key = 0; key < keys; ++key) {
+      one->ask(read_of(key));
+      ASSERT_TRUE(wait_for([&] { return one->answers.size() == static_cast<std::size_t>(key) + 1; }));
+      ASSERT_EQ(one->status(static_cast<std::size_t>(key)), 200);
+    }
+  }
+
+  FakeServer second{io};
+};
+
+TEST_F(Managed, EachCallHasOneAnswerAndTheEndAndMistakesAreToldWhy) {
+  begin();
+  EXPECT_EQ(call("HEALTH"), "ACK serving\n");
+  EXPECT_EQ(says("HEALTH\r\n"), "ACK serving\n");
+  EXPECT_EQ(says("HEALTH", true), "ACK serving\n");
+  EXPECT_EQ(says("HEALTH\nHEALTH\n"), "ACK serving\n");
+  for (const std::string bad : {"\n", "GET / HTTP/1.1\r\n\r\n", "OFFLINE\n", "ONLINE a b\n", "\x01\xff\n"})
+    EXPECT_EQ(says(bad).rfind("NAK ", 0), 0U) << bad;
+  EXPECT_EQ(says(std::string(5'000, 'x')), "NAK the line is too long\n");
+  EXPECT_EQ(says("", true), "");
+  EXPECT_EQ(host->operators().address()->address().to_string(), "127.0.0.1");
+}
+
+TEST_F(Managed, CallersThatSayNothingKeepNobodyOut) {
+  begin();
+  std::vector<std::unique_ptr<Caller>> silent;
+  for (int i = 0; i < 40; ++i) {
+    silent.push_back(std::make_unique<Caller>(io, *host->operators().address()));
+    if (i % 2 == 0) silent.back()->peer->write("HEAL");
+  }
+  const auto began = std::chrono::steady_clock::now();
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(call("HEALTH"), "ACK serving\n");
+  EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::seconds(10));
+  EXPECT_EQ(figures()["inflight"], 0);
+  // Each has its time.
+  EXPECT_TRUE(wait_for([&] {
+    return std::all_of(silent.begin(), silent.end(), [](const auto& one) { return one->peer->ended; });
+  }));
+}
+
+TEST_F(Managed, WhatClientsGotAndServersSawIsWhatTheFiguresSay) {
+  begin({{"s-cache", cache.address()}, {"s-origin", origin.address(), "origin"}});
+  int turn = 0;
+  cache.answer = [&](const std::string&) {
+    ++turn;
+    return turn % 3 == 0 ? response(404) : response(200, "x");
+  };
+  origin.answer = [](const std::string& message) {
+    return message.rfind("PUT /pay", 0) == 0 ? response(500) : response(200, "o");
+  };
+  ask_for(9);
+  const auto one = client();
+  one->ask(request_text("PUT", "/pay/1", "pay", "x"));
+  one->ask(request_text("GET", "/nothing/1", "nothing"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 2; }));
+  EXPECT_EQ(one->status(0), 502);
+  EXPECT_EQ(one->status(1), 400);
+  const json told = figures();
+  EXPECT_EQ(told["success"], (json{{"read", 9}, {"save", 0}, {"pay", 0}}));
+  EXPECT_EQ(told["failure"], (json{{"read", 0}, {"save", 0}, {"pay", 1}}));
+  EXPECT_EQ(told["busy"], (json{{"read", 0}, {"save", 0}, {"pay", 0}}));
+  EXPECT_EQ(told["backend_calls"], cache.requests.size() + origin.requests.size());
+  EXPECT_EQ(told["inflight"], 0);
+  EXPECT_EQ(told["hosts_listed"], 1);
+  EXPECT_EQ(told["hosts_down"], 0);
+}
+
+TEST_F(Managed, WhatIsInWorkIsInFlightUntilItsAnswerIsOutAndLeftIsNoEnd) {
+  begin({{"s-cache", cache.address()}, {"s-origin", origin.address(), "origin"}});
+  auto one = client();
+  auto two = client();
+  one->ask(a_read());
+  two->ask(request_text("GET", "/read/2", "read"));
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 2; }));
+  EXPECT_EQ(figures()["inflight"], 2);
+  two.reset();
+  ASSERT_TRUE(wait_for([&] { return host->counts().withdrawn == 1; }));
+  EXPECT_EQ(figures()["inflight"], 1);
+  // In parts: it ends with its last byte, and broken half-way it failed.
+  std::string& first = cache.requests[0];
+  const auto& peer = first.find("/read/2 ") == std::string::npos ? cache.peers[0] : cache.peers[1];
+  peer->write("HTTP/1.1 200 X\r\nContent-Length: 2000000\r\n\r\n" + std::string(1'000'000, 'x'));
+  ASSERT_TRUE(wait_for([&] { return one->peer->got.size() > 500'000; }));
+  EXPECT_EQ(figures()["inflight"], 1);
+  EXPECT_EQ(figures()["success"]["read"], 0);
+  peer->close();
+  ASSERT_TRUE(wait_for([&] { return one->peer->ended; }));
+  EXPECT_EQ(figures()["inflight"], 0);
+  EXPECT_EQ(figures()["failure"]["read"], 1);
+  EXPECT_EQ(figures()["success"]["read"], 0);
+}
+
+TEST_F(Managed, AServerLeftOutGetsNothingWhateverTheListSaysAndIsUsedAgainWhenCalledBack) {
+  cache.answer = second.answer = [](const std::string&) { return response(200, "x"); };
+  begin();
+  accept_watch();
+  begin_watch();
+  ask_for(30);
+  ASSERT_GT(cache.requests.size(), 0U);
+  ASSERT_GT(second.requests.size(), 0U);
+  EXPECT_EQ(call("OFFLINE s-none").rfind("NAK ", 0), 0U);
+  EXPECT_EQ(call("OFFLINE s-origin").rfind("NAK ", 0), 0U);
+  EXPECT_EQ(call("ONLINE s-none").rfind("NAK ", 0), 0U);
+  EXPECT_EQ(call("ONLINE s-cache").rfind("ACK ", 0), 0U);
+  EXPECT_EQ(call("OFFLINE s-cache").rfind("ACK ", 0), 0U);
+  EXPECT_EQ(call("OFFLINE s-cache").rfind("ACK ", 0), 0U);
+  EXPECT_EQ(figures()["hosts_down"], 1);
+  EXPECT_EQ(figures()["hosts_listed"], 2);
+  const std::size_t before = cache.requests.size();
+  ask_for(30);
+  // The list tells it anew, loses it, and has it back.
+  for (const auto& members : std::vector<std::vector<MemberText>>{
+           {{"s-cache", cache.address()},
+            {"s-second", second.address()},
+            {"s-origin", origin.address(), "origin"}},
+           {{"s-second", second.address()}, {"s-origin", origin.address(), "origin"}},
+           {{"s-cache", cache.address()},
+            {"s-second", second.address()},
+            {"s-origin", origin.address(), "origin"}}}) {
+    static int revision = 10;
+    chunk(list_json(static_cast<std::uint64_t>(++revision), true, members).dump() + "\n");
+    quiet(50);
+    ask_for(30);
+  }
+  EXPECT_EQ(cache.requests.size(), before);
+  EXPECT_EQ(call("ONLINE s-cache").rfind("ACK ", 0), 0U);
+  EXPECT_EQ(figures()["hosts_down"], 0);
+  ask_for(60);
+  EXPECT_GT(cache.requests.size(), before);
+}
+
+// Restarted while it was out, and the list does not say so: it warms up.
+TEST_F(Managed, AServerThatIsCalledBackCountsAsCold) {
+  cache.answer = second.answer = [](const std::string&) { return response(200, "x"); };
+  const auto known = list_json(1, true,
+                               {{"s-cache", cache.address()},
+                                {"s-second", second.address()},
+                                {"s-origin", origin.address(), "origin"}});
+  json config = config_json(text_of(discovery.local_endpoint()), known);
+  config["settings"]["Guarantees"]["ColdShare"] = 0.1;
+  config["settings"]["Guarantees"]["ColdUs"] = 600'000'000;
+  settings = parse_settings(config.dump());
+  settings.management.emplace() = any_port();
+  host = std::make_unique<Host>(io, clock, settings);
+  ask_for(200);
+  const std::size_t warm = cache.requests.size();
+  ASSERT_GT(warm, 50U);
+  call("OFFLINE s-cache");
+  call("ONLINE s-cache");
+  ask_for(200);
+  EXPECT_GT(cache.requests.size(), warm);
+  EXPECT_LT(cache.requests.size() - warm, warm / 2);
+}
+
+// Nothing begins from the yes on: what waited for its connection goes elsewhere.
+TEST_F(Managed, WhatWaitsForAConnectionToItDoesNotGoOut) {
+  second.answer = [](const std::string&) { return response(200, "x"); };
+  // Nobody takes connections there, and the kernel lets a few wait.
+  tcp::acceptor deaf(io, any_port());
+  begin({{"s-deaf", text_of(deaf.local_endpoint())},
+         {"s-second", second.address()},
+         {"s-origin", origin.address(), "origin"}});
+  const auto one = client();
+  for (int key = 0; key < 20; ++key) {
+    one->ask(read_of(key));
+    // Sent to the one or the other in the same turn; the call comes before the dial is through.
+    call("OFFLINE s-deaf");
+    ASSERT_TRUE(wait_for([&] { return one->answers.size() == static_cast<std::size_t>(key) + 1; }));
+    EXPECT_EQ(one->status(static_cast<std::size_t>(key)), 200);
+    call("ONLINE s-deaf");
+    if (key > 3) break;
+  }
+}
+
+TEST_F(Managed, ADrainSaysNoEndsConnectionsAndServesAndJoinEndsIt) {
+  cache.answer = second.answer = [](const std::string&) { return response(200, "x"); };
+  begin();
+  EXPECT_EQ(call("JOIN").rfind("ACK ", 0), 0U);
+  const auto idle = client();
+  idle->ask(a_read());
+  ASSERT_TRUE(wait_for([&] { return idle->answers.size() == 1; }));
+  const auto silent = client();
+  quiet();
+  EXPECT_EQ(call("LEAVE").rfind("ACK ", 0), 0U);
+  EXPECT_EQ(call("LEAVE").rfind("ACK ", 0), 0U);
+  ASSERT_TRUE(wait_for([&] { return idle->peer->ended && silent->peer->ended; }));
+  EXPECT_EQ(up(), 503);
+  // The listener stays, what comes is served, and its connection ends.
+  const auto late = client();
+  late->ask(a_read());
+  ASSERT_TRUE(wait_for([&] { return late->answers.size() == 1 && late->peer->ended; }));
+  EXPECT_EQ(late->status(), 200);
+  EXPECT_NE(late->answers[0].find("Connection: close"), std::string::npos);
+  const auto says_nothing = client();
+  ASSERT_TRUE(wait_for([&] { return says_nothing->peer->ended; }));
+  EXPECT_EQ(call("HEALTH"), "ACK serving\n");
+  EXPECT_EQ(call("JOIN").rfind("ACK ", 0), 0U);
+  EXPECT_EQ(up(), 200);
+  const auto again = client();
+  again->ask(a_read());
+  ASSERT_TRUE(wait_for([&] { return again->answers.size() == 1; }));
+  quiet();
+  EXPECT_FALSE(again->peer->ended);
+}
+
+TEST_F(Managed, DuringTheStopBothCallsAreAnsweredAndTheRouterStillEnds) {
+  begin();
+  bool done = false;
+  host->drain([&] { done = true; });
+  EXPECT_EQ(call("LEAVE").rfind("ACK ", 0), 0U);
+  EXPECT_EQ(call("JOIN").rfind("ACK ", 0), 0U);
+  EXPECT_EQ(up(), 503);
+  EXPECT_TRUE(wait_for([&] { return done; }));
+}
+
+}  // namespace
+}  // namespace streampick::node::test
