--- a/include/streampick/router.h
+++ b/include/streampick/router.h
@@ -43,7 +43,10 @@
   double worth = 1;
   Effect effect = Effect::unsafe;
   Group group = Group::all;
-  Time window = 0;  // how long repeats of a keyed request are discarded
+  Time window = 0;             // how long repeats of a keyed request are discarded
+  std::uint32_t attempts = 0;  // at most for one request; 0: as for all
+  std::uint32_t like = kNone;  // one that comes later: whose usual times it begins with
+  friend bool operator==(const RequestClass&, const RequestClass&) = default;
 };
 
 struct Tenant {
@@ -122,6 +125,11 @@
   ~Router();
   Router(Router&&) noexcept;
 
+  // New settings while it serves. Classes keep their places: a request's rules are those that stand at its
+  // class's place, which may change only when no request of that place is open. What was learned stays. The
+  // family, the origin's kind, how lists come and the own zone must be as they were at the start. Throws as
+  // the constructor does, and then nothing has changed.
+  void on_config(Time now, Config config);
   void on_members(Time now, Update update, std::span<const Member> members);
   void on_request(Time now, const Request& request);
   void on_stream_started(Time now, RequestId request, std::uint32_t attempt);
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -24,15 +24,26 @@
 #endif
 
 Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings)
-    : io_(io), clock_(clock), names_(settings.settings.names), ready_timer_(io), summary_timer_(io) {
+    : io_(io),
+      clock_(clock),
+      accepted_(settings),
+      names_(settings.settings.names),
+      ready_timer_(io),
+      summary_timer_(io) {
   transports_ = std::make_unique<ServerTransports>(io_, clock_, links_, settings);
   begin(settings);
 }
 
 #ifdef STREAMPICK_WITH_OPTIONS
 Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings, const Options& options)
-    : io_(io), clock_(clock), names_(settings.settings.names), ready_timer_(io), summary_timer_(io) {
+    : io_(io),
+      clock_(clock),
+      accepted_(settings),
+      names_(settings.settings.names),
+      ready_timer_(io),
+      summary_timer_(io) {
   NodeSettings own = settings;
+  options_ = options;
   transports_ = std::make_unique<ServerTransports>(io_, clock_, links_, own, options);
 #ifdef STREAMPICK_WITH_ETCD
   begin(own, options.etcd.on);
@@ -81,12 +92,7 @@
   discovery_ = std::make_unique<Discovery>(
       io_, names_, settings.discovery, passed ? 0 : settings.known.revision, !must_ask, told.seed, lists_);
   engine_->start(*discovery_, settings.known);
-  std::vector<bool> spared;
-  for (const std::string& name : names_.classes)
-    spared.push_back(std::find(settings.overload.spared.begin(), settings.overload.spared.end(), name) !=
-                     settings.overload.spared.end());
-  admission_ =
-      std::make_unique<Admission>(io_, settings.overload, told.config, settings.cores, std::move(spared));
+  admission_ = std::make_unique<Admission>(io_, settings.overload, told.config, settings.cores, spared());
   http_ = std::make_unique<Clients>(io_, clock_, names_, *engine_, settings.listen, descriptors_,
                                     settings.overload, *admission_, settings.passed_socket);
   engine_->add(*http_);
@@ -130,9 +136,69 @@
   engine_.reset();
 }
 
-void Host::reload(const NodeSettings& settings) {
-  log("configuration read again");
-  discovery_->move_to(settings.discovery);
+std::vector<bool> Host::spared() const {
+  const std::vector<std::string>& named = accepted_.overload.spared;
+  std::vector<bool> out;
+  for (const std::string& name : names_.classes)
+    out.push_back(std::find(named.begin(), named.end(), name) != named.end());
+  return out;
+}
+
+bool Host::reload(const std::string& path) {
+  return reload([&] { return load_settings(path, accepted_); });
+}
+
+bool Host::reload(const NodeSettings& next) {
+  return reload([&] { return next; });
+}
+
+bool Host::reload(const std::function<NodeSettings()>& load) {
+  bool taken = false;
+  try {
+    take(load());
+    taken = true;
+    log("configuration read again");
+  } catch (const std::exception& wrong) {
+    log(std::string("reload: the old settings stay: ") + wrong.what());
+  }
+  operators_->reconfigured(taken);
+  return taken;
+}
+
+// All that may throw comes before the first change.
+void Host::take(const NodeSettings& next) {
+  NodeSettings own = next;
+#ifdef STREAMPICK_WITH_OPTIONS
+  std::optional<Options> options = options_;
+  if (options) {
+    resolve(*options, own);
+    ServerTransports::as_servers_have_it(*options, own.settings);
+  }
+#endif
+  const Names& told = own.settings.names;
+  if (told.zones != names_.zones || told.kinds != names_.kinds || own.listen != accepted_.listen)
+    log("reload: zones, kinds and the address of clients are taken at the next start");
+  engine_->reconfigure(own.settings.config, told.classes);
+  names_.classes = engine_->classes().names();
+  names_.tenants = told.tenants;
+  names_.keyed.clear();
+  for (const std::string& name : names_.classes) {
+    const std::uint32_t place = index_of(told.classes, name);
+    names_.keyed.push_back(place != kNone && told.keyed[place]);
+  }
+  Config config = own.settings.config;
+  config.classes = engine_->classes().rules();
+  admission_->set(config, spared());
+  links_.dial_time_out = config.dial_time_out;
+#ifdef STREAMPICK_WITH_RESP
+  if (resp_ && options && options->resp.front) {
+    const resp::FrontSettings& front = options->resp.front->settings;
+    resp_->set_classes(index_of(names_.classes, told.classes[front.read_class]),
+                       index_of(names_.classes, told.classes[front.write_class]), front.write_key);
+  }
+#endif
+  accepted_.text = next.text;
+  discovery_->move_to(next.discovery);
 }
 
 std::string Host::summary() const {
--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -43,8 +43,11 @@
 
   // Goes on accepting for a little, finishes what was taken, then calls `done`.
   void drain(std::function<void()> done) { engine_->drain(std::move(done)); }
-  // Takes what a running router can take from a new configuration: the address of discovery.
-  void reload(const NodeSettings& settings);
+  // Takes what a running router can take from a new configuration: the address of discovery, classes,
+  // tenants, attempts and what the decisions may do. One that can't be used is logged and turned down whole;
+  // returns whether it was taken.
+  bool reload(const std::string& path);
+  bool reload(const NodeSettings& next);
   boost::asio::ip::tcp::endpoint address() const { return http_->address(); }
   Operators& operators() { return *operators_; }
   const Engine::Counts& counts() const { return engine_->counts(); }
@@ -64,13 +67,20 @@
     ListReader* to = nullptr;
   };
   // `two_sources`: the platform's lists are one of two.
+  bool reload(const std::function<NodeSettings()>& load);
+  void take(const NodeSettings& next);
+  std::vector<bool> spared() const;
   void begin(const NodeSettings& settings, bool two_sources = false);
   void ready();
   void every_ten_seconds();
 
   boost::asio::io_context& io_;
   Clock& clock_;
-  Names names_;
+  NodeSettings accepted_;  // the configuration in use
+  Names names_;            // classes by the engine's numbers
+#ifdef STREAMPICK_WITH_OPTIONS
+  std::optional<Options> options_;
+#endif
   overload::Descriptors descriptors_;
   Links links_;
   std::unique_ptr<ServerTransports> transports_;  // the engine has it
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -28,11 +28,7 @@
 void reload_on(boost::asio::signal_set& reloads, const char* path, node::Host& host) {
   reloads.async_wait([&reloads, path, &host](const boost::system::error_code& error, int) {
     if (error) return;
-    try {
-      host.reload(node::load_settings(path));
-    } catch (const std::exception& wrong) {
-      node::log(std::string("reload: the old settings stay: ") + wrong.what());
-    }
+    host.reload(path);
     reload_on(reloads, path, host);
   });
 }
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -39,20 +39,44 @@
       drain_grace_(settings.drain_grace),
       keep_alive_(settings.config.keep_alive),
       rests_(settings.rests),
+      config_(settings.config),
+      classes_(settings.config.classes, settings.classes),
       timer_(time.timer([this] {
         armed_ = kNever;
         wake();
       })),
       second_(time.timer([this] { every_second(); })),
       drain_timer_(time.timer([this] { end_drain(); })) {
-  for (const RequestClass& kind : settings.config.classes) patience_.push_back(kind.deadline);
-  for (std::size_t i = 0; i < settings.config.classes.size(); ++i)
-    ends_.push_back(figures_.of(i < settings.classes.size() ? settings.classes[i] : ""));
+  name_figures();
   router_.emplace(settings.config, settings.seed, time_.now(), *this);
 }
 
 Engine::~Engine() = default;
 
+void Engine::name_figures() {
+  ends_.resize(classes_.names().size());
+  // Where no settings name a number any more, its figures are those of the class that it last had.
+  for (std::size_t i = 0; i < ends_.size(); ++i)
+    if (const std::string& name = classes_.names()[i]; ends_[i] == nullptr || name != "\n")
+      ends_[i] = figures_.of(name == "\n" ? "" : name);
+}
+
+void Engine::reconfigure(Config config, const std::vector<std::string>& class_names) {
+  validate(config);
+  catch_up();
+  ClassTable next = classes_;
+  next.change(config.classes, class_names);
+  config.classes = next.rules();
+  std::tie(config.aside, config.origin_kind, config.must_ask, config.zone) =
+      std::tie(config_.aside, config_.origin_kind, config_.must_ask, config_.zone);
+  router_->on_config(time_.now(), config);
+  classes_ = std::move(next);
+  config_ = std::move(config);
+  keep_alive_ = config_.keep_alive;
+  name_figures();
+  settle();
+}
+
 void Engine::start(Roster& roster, const MemberList& known) {
   roster_ = &roster;
   apply(Update::stale, known);
@@ -125,7 +149,7 @@
   const RequestId id = ++last_request_;
   ++counts_.asked;
   // No client of the class waits longer, whatever it says.
-  const Time patience = patience_.at(incoming.request_class);
+  const Time patience = classes_.rules().at(incoming.request_class).deadline;
   if (patience > 0) incoming.remaining = std::min(incoming.remaining, patience);
   Open& open = requests_[id];
   open.asker = asker;
@@ -134,6 +158,8 @@
   open.key = incoming.key;
   open.asked = now;
   open.message = std::move(incoming.message);
+  open.request_class = incoming.request_class;
+  classes_.opened(open.request_class);
   open.ticket = figures_.begin(ends_.at(incoming.request_class));
   // A router told to stop is killed in the end: what it still takes must be answered before that.
   const Time gives_up = std::min(now + incoming.remaining, drain_end_);
@@ -250,6 +276,7 @@
     store_back_.write_ended(found->second.key, time_.now());
     if (found->second.may_have_run) void_copies(found->second.message->key);
   }
+  classes_.ended(found->second.request_class);
   requests_.erase(found);
   forget_txns();
 }
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -18,6 +18,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "engine/class_table.h"
 #include "engine/front.h"
 #include "engine/roster.h"
 #include "engine/store_back.h"
@@ -66,6 +67,11 @@
   const Counts& counts() const { return counts_; }
   const Figures& figures() const { return figures_; }
 
+  // New settings: classes, tenants, attempts and what the module may do. Requests that are open keep the
+  // rules that they were taken under. Throws std::invalid_argument, and then nothing has changed.
+  void reconfigure(Config config, const std::vector<std::string>& class_names);
+  const ClassTable& classes() const { return classes_; }
+
   // ---- Operators
   // Leaves a cache server out, from now on and whatever lists say, or uses it again; then it counts as
   // started at `started` unless a list tells of a later start. 0: as listed.
@@ -109,6 +115,7 @@
     std::shared_ptr<Asker> asker;  // none once it has its final answer or has gone
     std::shared_ptr<const Message> message;
     std::uint64_t tag = 0, txn = 0, key = 0;
+    std::uint32_t request_class = 0;
     Time asked = 0, deadline = 0, guard = 0;
     std::string why;
     Figures::Ticket ticket;
@@ -156,6 +163,7 @@
   void forget_if_gone(ServerId server);
   void settle();
   void wake();
+  void name_figures();
   void drain_fronts();
   std::size_t unanswered() const;
   void guard(RequestId request);
@@ -190,7 +198,8 @@
   std::pmr::unordered_map<RequestId, Open> requests_{&pool_};
   std::pmr::unordered_set<std::uint64_t> txns_{&pool_};  // of the open ones, and of the last to end
   std::deque<std::pair<Time, std::uint64_t>> ended_txns_;
-  std::vector<Time> patience_;  // by class: the longest that its clients wait
+  Config config_;
+  ClassTable classes_;
   // A heap, the next one first. What has ended stays in it until its turn comes, or until most have ended.
   std::vector<Expiry> expiries_;
   std::size_t sweep_at_ = 0;  // its size at which what has ended is taken out
--- a/src/net/admission.h
+++ b/src/net/admission.h
@@ -15,12 +15,17 @@
  public:
   Admission(boost::asio::io_context& io, const overload::Settings& settings, const Config& config,
             double cores, std::vector<bool> spared)
-      : pressure_(settings, cores),
-        lag_(io, pressure_),
-        spread_(config.max_retry_after),
-        spared_(std::move(spared)) {
+      : pressure_(settings, cores), lag_(io, pressure_), spread_(config.max_retry_after) {
+    set(config, std::move(spared));
+  }
+
+  // New settings; `spared` by class.
+  void set(const Config& config, std::vector<bool> spared) {
+    spread_ = overload::RetrySpread(config.max_retry_after);
+    spared_ = std::move(spared);
     double most = 1e-9;
     for (const RequestClass& kind : config.classes) most = std::max(most, kind.worth);
+    worth_.clear();
     for (const RequestClass& kind : config.classes) worth_.push_back(std::clamp(kind.worth / most, 0.0, 1.0));
     spared_.resize(worth_.size());
   }
--- a/src/platform/node_settings.cpp
+++ b/src/platform/node_settings.cpp
@@ -15,6 +15,7 @@
 #include "net/tcp.h"
 #include "roster/members.h"
 #include "settings/json_value.h"
+#include "settings/shape.h"
 
 namespace streampick::node {
 namespace {
@@ -97,6 +98,7 @@
   const JsonValue config(document);
   config.object("an object with the keys settings, listen and discovery");
   NodeSettings out;
+  out.text = text;
   out.settings = read_part(config.at("settings", "an object with the settings"));
   validate(out.settings.config);
   if (const auto name = config.find("name")) out.name = name->text("a text");
@@ -158,12 +160,16 @@
   settings.passed_socket = number;
 }
 
-NodeSettings load_settings(const std::string& path) {
+namespace {
+
+NodeSettings load(const std::string& path, const NodeSettings* accepted) {
   std::ifstream file(path);
   if (!file) throw std::runtime_error("cannot read the configuration '" + path + "'");
   const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
   try {
-    return parse_settings(text);
+    NodeSettings out = parse_settings(text);
+    if (accepted != nullptr) require_shape(parse_json(accepted->text), parse_json(text));
+    return out;
   } catch (const std::exception& error) {
     std::string what = error.what();
     std::replace(what.begin(), what.end(), '\n', ' ');
@@ -171,4 +177,11 @@
   }
 }
 
+}  // namespace
+
+NodeSettings load_settings(const std::string& path) { return load(path, nullptr); }
+NodeSettings load_settings(const std::string& path, const NodeSettings& accepted) {
+  return load(path, &accepted);
+}
+
 }  // namespace streampick::node
--- a/src/platform/node_settings.h
+++ b/src/platform/node_settings.h
@@ -25,6 +25,7 @@
   double cores = 1;  // of the processor, at most
   MemberList known;
   overload::Settings overload;  // the operator's
+  std::string text;             // all of it, as it was read
 };
 
 // The descriptors that connections may have, of clients and to servers: all but those of standard streams,
@@ -41,6 +42,8 @@
 
 // All throw std::runtime_error with one line that says what is wrong.
 NodeSettings load_settings(const std::string& path);
+// What is to replace `accepted`: it must also have all that this one has.
+NodeSettings load_settings(const std::string& path, const NodeSettings& accepted);
 NodeSettings parse_settings(const std::string& json);
 
 }  // namespace streampick::node
--- a/src/platform/transports.cpp
+++ b/src/platform/transports.cpp
@@ -17,12 +17,19 @@
 #ifdef STREAMPICK_WITH_RESP
   resp_ = options.resp.servers;
   kinds_ = settings.settings.names.kinds;
-  Config& config = settings.settings.config;
+  const Config& config = settings.settings.config;
   if (config.aside) origin_kind_ = config.origin_kind;
-  if (!resp::repeats_run_twice(options.resp, settings.settings)) return;
+#endif
+  as_servers_have_it(options, settings.settings);
+}
+
+void ServerTransports::as_servers_have_it([[maybe_unused]] const Options& options,
+                                          [[maybe_unused]] Settings& settings) {
+#ifdef STREAMPICK_WITH_RESP
+  if (!resp::repeats_run_twice(options.resp, settings)) return;
   log("keyed classes count as unsafe: the servers that take writes are not told keys "
       "(resp.servers.send_ids)");
-  for (RequestClass& kind : config.classes)
+  for (RequestClass& kind : settings.config.classes)
     if (kind.effect == Effect::keyed) kind.effect = Effect::unsafe;
 #endif
 }
--- a/src/platform/transports.h
+++ b/src/platform/transports.h
@@ -24,6 +24,8 @@
   // unsafe in `settings` from then on.
   ServerTransports(boost::asio::io_context& io, TimeSource& time, Links& links, NodeSettings& settings,
                    const Options& options);
+  // The same, of settings that come later.
+  static void as_servers_have_it(const Options& options, Settings& settings);
 #endif
   void report_to(Outcomes& outcomes) { outcomes_ = &outcomes; }
   std::unique_ptr<Transport> make(const std::string& name, std::uint32_t kind) override;
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -1,7 +1,6 @@
-// Sheds what cannot be answered in time, only under pressure: a limit on cache work in flight, cut when
-// answers take long or reads are turned away twice, raised while it is used. Tenants over their quota and
-// classes of less worth get less; a read waits a little for room, last in first out, in a bounded line. It
-// hurts where less work cures nothing. Writes that go to the origin pass.
+// Sheds what cannot be answered in time: a limit on cache work in flight, cut when answers take long or reads
+// are turned away twice, raised while it is used. Tenants over their quota and classes of less worth get
+// less; a read waits a little for room, last in first out. Writes that go to the origin pass.
 #pragma once
 
 #include "policy/origin.h"
@@ -20,13 +19,13 @@
 
   bool use_quota(const Request& request) {
     if (request.tenant >= tenants_.size() || config_.tenants[request.tenant].quota_per_s <= 0) return false;
-    TenantState& tenant = tenants_[request.tenant];
+    auto& [tokens, filled] = tenants_[request.tenant];
     const double rate = config_.tenants[request.tenant].quota_per_s / config_.routers;
-    tenant.tokens += rate * static_cast<double>(now_ - tenant.filled) / kSecond;
-    tenant.tokens = std::min(tenant.tokens, rate * 2 + 2);
-    tenant.filled = now_;
-    const bool over_quota = tenant.tokens < 1;
-    if (!over_quota) tenant.tokens -= 1;
+    tokens += rate * static_cast<double>(now_ - filled) / kSecond;
+    tokens = std::min(tokens, rate * 2 + 2);
+    filled = now_;
+    const bool over_quota = tokens < 1;
+    if (!over_quota) tokens -= 1;
     return over_quota;
   }
 
--- a/src/policy/execution.h
+++ b/src/policy/execution.h
@@ -17,7 +17,6 @@
 struct Execution : Servers {
   using Servers::Servers;
 
-  virtual ~Execution() = default;
   virtual void ask_origin(std::uint32_t slot) = 0;  // the layers above
   virtual void hand_over(std::uint32_t slot, bool filled) = 0;
   virtual void look_at_origin(std::uint32_t slot) = 0;
@@ -41,7 +40,7 @@
   // In look-aside fleets the last attempt of a read is kept for the origin.
   std::uint32_t attempts_left(const Open& open) const {
     const bool keep = config_.aside && open.origin != OriginUse::out && open.origin != OriginUse::done;
-    const std::uint32_t limit = max_attempts_ - (keep && max_attempts_ > 1 ? 1 : 0);
+    const std::uint32_t most = most_attempts(open), limit = most - (keep && most > 1 ? 1 : 0);
     return open.sent < limit ? limit - open.sent : 0;
   }
 
@@ -149,7 +148,7 @@
     if (!attempt.origin && class_of(open).effect != Effect::safe) return false;
     if (open.request.deadline - now_ <= config_.answer_slack) return false;
     if (attempt.origin) {
-      if (open.sent >= max_attempts_ || !server.listed) return false;
+      if (open.sent >= most_attempts(open) || !server.listed) return false;
       ask_origin(slot);
       return true;
     }
@@ -169,7 +168,7 @@
     if (may_send_again(open) && open.request.deadline - now_ > config_.answer_slack) {
       const Attempt& last = open.attempts[open.sent - 1];
       if (last.origin || to_origin_first(open)) {
-        if (open.sent < max_attempts_ && never_ran(last.outcome))
+        if (open.sent < most_attempts(open) && never_ran(last.outcome))
           return add_timer(now_ + kTick, Wake::hold, slot, open.generation);
       } else if (attempts_left(open) > 0 && open.origin != OriginUse::out) {
         if (const ServerId server = pick(open, false); server != kNone) return send(slot, server);
@@ -183,7 +182,7 @@
     Open& open = open_[slot];
     const bool read =
         config_.aside && class_of(open).effect == Effect::safe && open.origin == OriginUse::none;
-    read&& open.sent < max_attempts_&& origin_has_room() ? ask_origin(slot) : give_up(slot);
+    read&& open.sent < most_attempts(open) && origin_has_room() ? ask_origin(slot) : give_up(slot);
   }
 
   void give_up(std::uint32_t slot) {
--- a/src/policy/origin.h
+++ b/src/policy/origin.h
@@ -1,7 +1,6 @@
 // A limit on the origin work in flight, learned from its answers; one read of a key at a time; a short wait
-// in line, then an early refusal. It guards against floods of misses from flushes, cold servers and remapped
-// keys, and against a slow origin. It hurts when the origin is merely far away and slow answers are normal,
-// which is why its usual time counts too.
+// in line, then an early refusal. It guards against floods of misses and a slow origin. It hurts when the
+// origin is merely far away and slow answers are normal, which is why its usual time counts too.
 #pragma once
 
 #include "policy/execution.h"
@@ -14,9 +13,8 @@
 inline constexpr double kOriginMost = 64, kOriginFirstMost = 4;
 inline constexpr double kOriginSlowPerAim = 0.33;  // an origin answer slower than this share of the aim
 inline constexpr double kOriginStuck = 3, kOriginLost = 4;  // times its usual: stuck; to be asked again ...
-inline constexpr std::uint32_t kOriginPassed = 8,
-                               kOriginOvertaken = 32;  // ... if so many others were answered
-inline constexpr double kOriginSlowPerBase = 2;        // ... and than this multiple of its usual is crowded
+inline constexpr std::uint32_t kOriginPassed = 8, kOriginOvertaken = 32;  // ... if so many others came back
+inline constexpr double kOriginSlowPerBase = 2;  // ... and than this multiple of its usual is crowded
 
 struct Origin : Execution {
   using Execution::Execution;
@@ -57,7 +55,7 @@
         if (!stale && !missed && (!usable || !room)) break;
         line.pop_front();
         if (stale) continue;
-        if (missed || open.sent >= max_attempts_) {
+        if (missed || open.sent >= most_attempts(open)) {
           give_up(slot);
           continue;
         }
@@ -77,7 +75,7 @@
     const std::uint32_t others = servers_[last.server].answers - last.answers;
     if (took < kOriginStuck || others < kOriginPassed) return;
     if (!std::exchange(last.stuck, true)) --origin_in_flight_;
-    if (took >= kOriginLost && others >= kOriginOvertaken && open.sent < max_attempts_)
+    if (took >= kOriginLost && others >= kOriginOvertaken && open.sent < most_attempts(open))
       sink_.cancel(open.request.id, open.sent - 1);
     drain_origin_line();
   }
--- a/src/policy/plan.h
+++ b/src/policy/plan.h
@@ -1,7 +1,6 @@
 // Weighted rendezvous order over the ready cache servers, one server an execution, skipping one whose own
-// in-flight count has reached its bound. It guards against hot keys and uneven machines; the same bound
-// holds back work from any server that answers slowly. It hurts where few requests are in flight and a low
-// bound scatters keys over servers that do not keep them.
+// in-flight count has reached its bound. It guards against hot keys, uneven machines and slow servers. It
+// hurts where few requests are in flight and a low bound scatters keys over servers that do not keep them.
 #pragma once
 
 #include "policy/state.h"
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -203,6 +203,7 @@
     : impl_(std::make_unique<Impl>(std::move(config), seed, now, sink)) {}
 Router::~Router() = default;
 Router::Router(Router&&) noexcept = default;
+void Router::on_config(Time now, Config config) { impl_->now_ = now, impl_->configure(std::move(config)); }
 void Router::on_members(Time now, Update kind, std::span<const Member> all) {
   impl_->on_members(now, kind, all);
 }
--- a/src/policy/servers.h
+++ b/src/policy/servers.h
@@ -1,7 +1,6 @@
-// Health from this router's own outcomes, slow start, drains. Speed learned from answers sets the weight; bad
-// outcomes in a row eject, for longer each time, and one trial request brings back. It guards against slow,
-// hung and unreachable servers. Where everything looks bad, as when our own network is at fault, nothing is
-// ejected.
+// Health from this router's own outcomes. Speed learned from answers sets the weight; bad outcomes in a row
+// eject, for longer each time, and one trial request brings back. It guards against slow, hung and
+// unreachable servers. Where everything looks bad, as with our own network at fault, nothing is ejected.
 #pragma once
 
 #include "policy/plan.h"
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -28,8 +28,7 @@
 inline constexpr double kCrowdedPerAim = 0.35;    // cache answers slower than this share of the aim: crowded
 inline constexpr Time kKeepSeldom = kSecond / 2;  // an idle connection that costs is closed after this ...
 inline constexpr Time kSeldom = 30 * kSecond;     // ... where its next use is further away than this
-inline constexpr Time kAskFirst = kSecond / 2, kAskMost = 4 * kSecond;  // backoff after a failed call
-inline constexpr Time kAskAgain = 5 * kSecond;                          // ... and after a silent one
+inline constexpr Time kAskFirst = kSecond / 2, kAskMost = 4 * kSecond, kAskAgain = 5 * kSecond;  // lists
 inline constexpr Time kTick = 200'000;  // of the limits, and of held requests that try again
 
 // 64-bit finalizer (splitmix64): the only mixing function, for plans and for random draws.
@@ -119,18 +118,29 @@
 struct State {
   State(Config config, std::uint64_t seed, Time now, ActionSink& sink)
       : config_(std::move(config)), sink_(sink), random_(seed), now_(now) {
-    validate(config_);
-    config_.routers = std::max(1U, config_.routers);
-    class_took_.assign(config_.classes.size(), 0);
-    tenants_.assign(config_.tenants.size(), {});
-    for (const RequestClass& kind : config_.classes)
-      if (!config_.aside || kind.effect == Effect::safe) most_worth_ = std::max(most_worth_, kind.worth);
-    max_attempts_ = std::min<std::uint32_t>(config_.max_attempts, kMaxAttempts);
+    configure(config_);
     if (config_.keep_alive > 0) keep_most_ = config_.keep_alive;
     keep_ = keep_most_;
     add_timer(now_ + kTick, Wake::tick);
   }
 
+  // What is known of classes that stay as they are stays.
+  void configure(Config next) {
+    validate(next);
+    std::vector<double> took(next.classes.size(), 0);
+    most_worth_ = 1e-9;
+    for (std::size_t i = 0; i < took.size(); ++i) {
+      const RequestClass& kind = next.classes[i];
+      const std::size_t from = i < class_took_.size() && kind == config_.classes[i] ? i : kind.like;
+      if (from < class_took_.size()) took[i] = class_took_[from];
+      if (!next.aside || kind.effect == Effect::safe) most_worth_ = std::max(most_worth_, kind.worth);
+    }
+    class_took_ = std::move(took);
+    tenants_.resize(next.tenants.size());
+    next.routers = std::max(1U, next.routers);
+    config_ = std::move(next);
+  }
+
   // What has ended by itself is nothing to wake for.
   Time next_wakeup() {
     while (!timers_.empty() && stale(timers_.top())) timers_.pop();
@@ -144,6 +154,10 @@
   }
 
   const RequestClass& class_of(const Open& open) const { return config_.classes[open.request.request_class]; }
+  std::uint32_t most_attempts(const Open& open) const {
+    const std::uint32_t own = class_of(open).attempts;
+    return std::min<std::uint32_t>(own > 0 ? own : config_.max_attempts, kMaxAttempts);
+  }
   std::array<Health*, 3> healths(Server& server) { return {&server.health, server.zone, server.cell}; }
   bool off(const Health& health) const {  // ejected, or one trial request is out
     return health.ejected_until > now_ || (health.strikes >= kStrikesToEject && health.in_flight > 0);
@@ -176,7 +190,6 @@
   ActionSink& sink_;
   std::uint64_t random_;
   Time now_;
-  std::uint32_t max_attempts_ = 1;
   std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
   std::uint64_t sequence_ = 0;
 
@@ -209,11 +222,7 @@
   std::deque<std::pair<std::uint32_t, std::uint32_t>> origin_line_, origin_write_line_;  // reads; writes
   std::unordered_map<std::uint64_t, std::uint32_t> fetching_;  // key to the slot that reads it
 
-  struct TenantState {
-    double tokens = 0;
-    Time filled = 0;
-  };
-  std::vector<TenantState> tenants_;
+  std::vector<std::pair<double, Time>> tenants_;  // what is saved up of each quota, and when it was counted
   std::deque<std::pair<std::uint32_t, std::uint32_t>> entry_line_;
   double most_worth_ = 1e-9;  // of the classes that go to caches
   Time line_since_ = 0, crowding_at_ = 0, origin_at_ = 0, origin_cut_ = 0;
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -48,6 +48,13 @@
 
   boost::asio::ip::tcp::endpoint address() const { return listener_.address(); }
   void drain() override;
+  void end_drain() override { draining_ = false; }
+  // Of new settings; requests that are open keep the classes they were asked under.
+  void set_classes(std::uint32_t read, std::uint32_t write, bool write_key) {
+    settings_.read_class = read;
+    settings_.write_class = write;
+    settings_.write_key = write_key;
+  }
   void stop_accepting() override;
   std::size_t unanswered() const override;
   std::size_t open() const override { return sessions_.size(); }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -7,6 +7,8 @@
 namespace streampick {
 namespace {
 
+constexpr Time kLongestTime = 86'400'000'000;  // us
+
 std::vector<std::string> split(std::string_view text, char separator) {
   std::vector<std::string> parts;
   while (!text.empty()) {
@@ -178,6 +180,7 @@
   for (std::uint32_t i = 0; i < classes; ++i) {
     const std::string at = "Profiles." + std::to_string(i) + ".";
     config.classes.push_back(read_class(pairs, at));
+    config.classes.back().attempts = config.max_attempts;
     names.classes.emplace_back(pairs.text(at + "Name"));
     names.keyed.push_back(config.classes.back().effect == Effect::keyed);
   }
@@ -199,9 +202,11 @@
   if (config.classes.empty()) pairs.reject("Profiles", "", "a list of at least one class");
   for (std::size_t i = 0; i < config.classes.size(); ++i) {
     const std::string at = "Profiles." + std::to_string(i) + ".";
-    pairs.integer<Time>(at + "AimUs", 0, 1);
-    pairs.integer<Time>(at + "HardLimitUs", 0, 1);
+    for (const char* time : {"AimUs", "HardLimitUs"})
+      if (pairs.integer<Time>(at + time, 0, 1) > kLongestTime)
+        pairs.reject(at + time, pairs.text(at + time), "a day at most, in microseconds");
   }
+  pairs.integer<std::uint32_t>("PolicyLimits.MaxAttempts", 1, 1);
 }
 
 }  // namespace streampick
--- /dev/null
+++ b/tests/platform/reload_test.cpp
@@ -0,0 +1,178 @@
+// New settings while it serves: taken whole or turned down whole, and open requests keep their rules.
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "loopback.h"
+#include "net/log.h"
+
+namespace streampick::node::test {
+namespace {
+
+using json = nlohmann::json;
+
+class Reload : public Loopback {
+ protected:
+  Reload()
+      : file_(std::filesystem::path(::testing::TempDir()) /
+              ("streampick_reload_" + std::to_string(::getpid()))) {}
+  ~Reload() override { std::filesystem::remove(file_); }
+  void begin() {
+    config_ = config_json(
+        text_of(discovery.local_endpoint()),
+        list_json(1, true, {{"s-cache", cache.address()}, {"s-origin", origin.address(), "origin"}}));
+    start_with(config_);
+  }
+  void start_with(const json& config) {
+    settings = parse_settings(config.dump());
+    host = std::make_unique<Host>(io, clock, settings);
+  }
+  bool reload(const std::string& text) {
+    std::ofstream(file_, std::ios::trunc) << text;
+    return host->reload(file_.string());
+  }
+  bool reload(const json& config) { return reload(config.dump()); }
+  int status_of(const std::string& request) {
+    const auto one = client();
+    one->ask(request);
+    EXPECT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+    return one->answers.empty() ? 0 : one->status();
+  }
+  json& profile(std::size_t i) { return config_["settings"]["Profiles"][i]; }
+  std::filesystem::path file_;
+  json config_;
+};
+
+TEST_F(Reload, ClassesAreAddedAndDroppedAndAnotherEffectHoldsForNewRequests) {
+  cache.answer = origin.answer = [](const std::string&) { return response(200, "x"); };
+  begin();
+  EXPECT_EQ(status_of(request_text("GET", "/look/1", "look")), 400);
+  json look = profile(0);
+  look["Name"] = "look";
+  json without = config_;
+  config_["settings"]["Profiles"].push_back(look);
+  ASSERT_TRUE(reload(config_));
+  EXPECT_EQ(status_of(request_text("GET", "/look/1", "look")), 200);
+  EXPECT_EQ(status_of(request_text("PUT", "/pay/1", "pay", "x")), 200);
+  profile(2)["Effect"] = "keyed";
+  ASSERT_TRUE(reload(config_));
+  EXPECT_EQ(status_of(request_text("PUT", "/pay/1", "pay", "x")), 400);  // it wants its key now
+  EXPECT_EQ(status_of(request_text("PUT", "/pay/1", "pay", "x", "8.0", "Idempotency-Key: k\r\n")), 200);
+  ASSERT_TRUE(reload(without));
+  EXPECT_EQ(status_of(request_text("GET", "/look/1", "look")), 400);
+  const auto figures = host->operators().dump();
+  EXPECT_EQ(figures.classes.at("look").success, 1U);
+  EXPECT_EQ(figures.classes.at("pay").success, 2U);
+  EXPECT_EQ(figures.reconfig_ok, 3U);
+  EXPECT_EQ(figures.reconfig_failed, 0U);
+}
+
+// An unsafe write that may have run fails; under its new class, keyed, it would have gone out again.
+TEST_F(Reload, AnOpenRequestKeepsTheRulesItWasTakenUnder) {
+  begin();
+  const auto one = client();
+  one->ask(request_text("PUT", "/pay/1", "pay", "x"));
+  ASSERT_TRUE(wait_for([&] { return origin.requests.size() == 1; }));
+  profile(2)["Effect"] = "keyed";
+  profile(2)["HardLimitUs"] = 3'000'000;
+  ASSERT_TRUE(reload(config_));
+  origin.peers[0]->close();
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 502);
+  EXPECT_EQ(origin.requests.size(), 1U);
+  // And the other way: kept as keyed, though the class is unsafe by now.
+  const auto two = client();
+  two->ask(request_text("PUT", "/pay/1", "pay", "x", "3.0", "Idempotency-Key: k\r\n"));
+  ASSERT_TRUE(wait_for([&] { return origin.requests.size() == 2; }));
+  profile(2)["Effect"] = "unsafe";
+  ASSERT_TRUE(reload(config_));
+  origin.answer = [](const std::string&) { return response(200, "done"); };
+  origin.peers[1]->close();
+  ASSERT_TRUE(wait_for([&] { return two->answers.size() == 1; }));
+  EXPECT_EQ(two->status(), 200);
+  EXPECT_EQ(origin.requests.size(), 3U);
+}
+
+TEST_F(Reload, FewerAttemptsHoldForNewRequestsOnly) {
+  begin();
+  const auto turned_away = [](const std::string&) { return response(503, "", "X-Turned-Away: 1\r\n"); };
+  const auto one = client();
+  one->ask(request_text("PUT", "/pay/1", "pay", "x", "2.0"));
+  ASSERT_TRUE(wait_for([&] { return origin.requests.size() == 1; }));
+  config_["settings"]["PolicyLimits"]["MaxAttempts"] = 1;
+  ASSERT_TRUE(reload(config_));
+  origin.peers[0]->write(response(503, "", "X-Turned-Away: 1\r\n"));
+  ASSERT_TRUE(wait_for([&] { return origin.requests.size() == 2; }));  // of the three that it had
+  origin.peers[0]->write(response(200, "x"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  origin.answer = turned_away;
+  EXPECT_EQ(status_of(request_text("PUT", "/pay/1", "pay", "x", "2.0")), 503);
+  EXPECT_EQ(origin.requests.size(), 3U);
+}
+
+TEST_F(Reload, AFileThatCanNotBeUsedIsTurnedDownWholeAndCounted) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  begin();
+  const std::string good = config_.dump();
+  std::vector<std::string> bad = {"", "{", good.substr(0, good.size() / 2), "[]", "{\"settings\": 5}"};
+  const auto with = [&](const std::function<void(json&)>& change) {
+    json next = config_;
+    change(next);
+    // What would show if any of it were taken.
+    json look = next["settings"]["Profiles"].is_array() ? next["settings"]["Profiles"][0] : json();
+    if (look.is_object()) look["Name"] = "look", next["settings"]["Profiles"].push_back(look);
+    bad.push_back(next.dump());
+  };
+  for (const char* key : {"settings", "listen", "discovery", "limits", "seed"})
+    with([&](json& next) { next[key] = nullptr; });
+  for (const char* key : {"listen", "discovery", "limits", "seed"})
+    with([&](json& next) { next.erase(key); });
+  for (const char* key : {"PolicyLimits", "Guarantees", "RegistryMode", "Shapes"})
+    with([&](json& next) { next["settings"].erase(key); });
+  for (const char* key : {"MaxAttempts", "DialTimeoutUs"})
+    with([&](json& next) { next["settings"]["PolicyLimits"].erase(key); });
+  for (const char* key : {"Name", "Effect", "AimUs", "HardLimitUs", "Worth"})
+    with([&](json& next) { next["settings"]["Profiles"][1].erase(key); });
+  for (const json& value :
+       {json(0), json(-1), json("x"), json("3"), json(nullptr), json(true), json::array(), json(1e300)}) {
+    with([&](json& next) { next["settings"]["PolicyLimits"]["MaxAttempts"] = value; });
+    with([&](json& next) { next["settings"]["Profiles"][0]["HardLimitUs"] = value; });
+  }
+  std::string nan = good;
+  nan.replace(nan.find("8000000"), 7, "NaN");
+  bad.push_back(nan);
+  std::vector<std::string> said;
+  {
+    LogSink sink([&](std::string_view text) { said.emplace_back(text); });
+    for (const std::string& text : bad) {
+      said.clear();
+      EXPECT_FALSE(reload(text)) << text;
+      ASSERT_EQ(said.size(), 1U) << text;
+      EXPECT_NE(said[0].find(file_.string()), std::string::npos) << said[0];
+    }
+  }
+  EXPECT_EQ(host->operators().dump().reconfig_failed, bad.size());
+  EXPECT_EQ(status_of(request_text("GET", "/look/1", "look")), 400);
+  EXPECT_EQ(status_of(a_read()), 200);
+  EXPECT_TRUE(reload(good));
+  EXPECT_EQ(host->operators().dump().reconfig_ok, 1U);
+}
+
+TEST_F(Reload, ManyReloadsUnderRequestsStayBounded) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  begin();
+  const auto one = client();
+  for (int i = 0; i < 200; ++i) {
+    profile(0)["HardLimitUs"] = 4'000'000 + i;
+    ASSERT_TRUE(reload(config_));
+    one->ask(a_read());
+    ASSERT_TRUE(wait_for([&] { return one->answers.size() == static_cast<std::size_t>(i) + 1; }));
+    ASSERT_EQ(one->status(static_cast<std::size_t>(i)), 200);
+  }
+  EXPECT_EQ(host->operators().dump().classes.at("read").success, 200U);
+  EXPECT_EQ(host->operators().dump().classes.size(), 3U);
+}
+
+}  // namespace
+}  // namespace streampick::node::test
