--- /dev/null
+++ b/fuzz/management.cpp
@@ -0,0 +1,90 @@
+// What operators and the process before us may say: a line in any pieces, and the file of overrides. Either
+// is read the same in one piece and in many, within its bounds, or turned down in one line of words.
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "control/overrides.h"
+#include "management/line.h"
+
+using namespace streampick;
+
+namespace {
+
+void require(bool holds) {
+  if (!holds) std::abort();
+}
+
+void read_line(std::string_view bytes) {
+  using State = management::LineReader::State;
+  management::LineReader whole, pieces;
+  State at_once = whole.put(bytes), state = State::open;
+  const std::size_t step = 1 + (bytes.empty() ? 0 : static_cast<unsigned char>(bytes[0]) % 7);
+  for (std::size_t at = 0; at < bytes.size() && state == State::open; at += step)
+    state = pieces.put(bytes.substr(at, step));
+  require(state == at_once);
+  if (at_once == State::open) {
+    at_once = whole.end();
+    require(pieces.end() == at_once);
+  }
+  require(whole.line().size() <= management::LineReader::kLongest + 2);
+  if (at_once != State::whole) return;
+  require(whole.line() == pieces.line());
+  const auto read = management::parse_call(whole.line());
+  if (const auto* mistake = std::get_if<management::Mistake>(&read))
+    require(!mistake->why.empty() && mistake->why.find('\n') == std::string::npos);
+}
+
+void read_overrides(const std::string& text) {
+  try {
+    const auto read = control::Overrides::parse(text);
+    require(read.servers().size() <= control::Overrides::kMostServers);
+    require(control::Overrides::parse(read.text()) == read);
+  } catch (const std::runtime_error& error) {
+    require(std::string_view(error.what()).find('\n') == std::string_view::npos);
+  }
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  const std::string bytes(reinterpret_cast<const char*>(data), size);
+  read_line(bytes);
+  read_overrides(bytes);
+  return 0;
+}
+
+#ifndef STREAMPICK_LIBFUZZER
+int main(int argc, char** argv) {
+  const long cases = argc > 1 ? std::atol(argv[1]) : 20'000;
+  std::uint64_t state = 20261201;
+  const auto next = [&state] {
+    state = state * 6364136223846793005U + 1442695040888963407U;
+    return state >> 33U;
+  };
+  const std::vector<std::string> pieces = {"HEALTH", "DUMP", "OFFLINE ", "ONLINE", " s-1", "\r\n",
+                                           "\n",     "\r",   "\t",       "LEAVE",  "JOIN", "x"};
+  control::Overrides sample;
+  sample.leave_out("s-1", 1);
+  sample.leave_out("s-2", 2);
+  sample.call_back("s-2", 3);
+  for (long i = 0; i < cases; ++i) {
+    std::string bytes;
+    if (i % 2 == 0) {
+      for (std::uint64_t n = next() % 12; n > 0; --n) bytes += pieces[next() % pieces.size()];
+      if (next() % 50 == 0) bytes.insert(0, std::string(next() % 1'200, 'x'));
+    } else {
+      bytes = sample.text();
+      if (next() % 4 == 0) bytes.resize(next() % bytes.size());
+    }
+    for (std::uint64_t n = next() % 4; n > 0 && !bytes.empty(); --n)
+      bytes[next() % bytes.size()] = static_cast<char>(next());
+    LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size());
+  }
+  std::printf("%ld cases\n", cases);
+  return 0;
+}
+#endif
--- a/include/streampick/router.h
+++ b/include/streampick/router.h
@@ -105,6 +105,7 @@
   Outcome outcome = Outcome::error;
   Time took = 0;
   bool request_over = false;  // the client has its answer, or is gone
+  bool spent = false;         // its body went on as it came, and can't be had again
 };
 
 class ActionSink {
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -94,9 +94,10 @@
   engine_->start(*discovery_, settings.known);
   admission_ = std::make_unique<Admission>(io_, settings.overload, told.config, settings.cores, spared());
   http_ = std::make_unique<Clients>(io_, clock_, names_, *engine_, settings.listen, descriptors_,
-                                    settings.overload, *admission_, settings.passed_socket);
+                                    settings.overload, *admission_, links_, settings.passed_socket);
   engine_->add(*http_);
-  operators_ = std::make_unique<Operators>(io_, clock_, *engine_, links_, passed ? settings.scratch : "");
+  operators_ = std::make_unique<Operators>(io_, clock_, *engine_, links_, passed ? settings.scratch : "",
+                                           [this](bool alone) { share(alone); });
   if (settings.management) operators_->listen(*settings.management);
   // Beside a process that serves, requests wait at the door until this one can serve them as well.
   if (!passed) http_->open_doors();
@@ -136,6 +137,15 @@
   engine_.reset();
 }
 
+// Two processes of one router may hold together what one may: each has half, and gives back what rests.
+void Host::share(bool alone) {
+  const std::size_t whole = accepted_.memory_mb * (1024 * 1024 / 4);
+  links_.most_large = alone ? whole : whole / 2;
+  descriptors_.halve(!alone);
+  for (std::size_t over = descriptors_.over(); over > 0; --over)
+    if (!engine_->free_a_connection() && !http_->give_one_back()) return;
+}
+
 std::vector<bool> Host::spared() const {
   const std::vector<std::string>& named = accepted_.overload.spared;
   std::vector<bool> out;
--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -69,6 +69,7 @@
   // `two_sources`: the platform's lists are one of two.
   bool reload(const std::function<NodeSettings()>& load);
   void take(const NodeSettings& next);
+  void share(bool alone);
   std::vector<bool> spared() const;
   void begin(const NodeSettings& settings, bool two_sources = false);
   void ready();
--- a/src/daemon/operators.cpp
+++ b/src/daemon/operators.cpp
@@ -11,12 +11,12 @@
 }
 
 Operators::Operators(boost::asio::io_context& io, Clock& clock, Engine& engine, Links& links,
-                     const std::string& folder)
-    : io_(io), clock_(clock), engine_(engine), links_(links), look_(io) {
+                     const std::string& folder, std::function<void(bool alone)> alone)
+    : io_(io), clock_(clock), engine_(engine), links_(links), alone_(std::move(alone)), look_(io) {
   if (folder.empty()) return;
   shared_.emplace(folder, [](std::string_view text) { log(text); });
-  if (auto news = shared_->news()) take(std::move(*news));
-  look_for_news();
+  presence_.emplace(folder);
+  look();
 }
 
 void Operators::listen(const boost::asio::ip::tcp::endpoint& address) {
@@ -29,12 +29,12 @@
   return front_->address();
 }
 
-void Operators::look_for_news() {
+void Operators::look() {
+  if (auto news = shared_->news()) take(std::move(*news));
+  alone_(presence_->alone());
   look_.expires_after(kLookEvery);
   look_.async_wait([this](const boost::system::error_code& cancelled) {
-    if (cancelled) return;
-    if (auto news = shared_->news()) take(std::move(*news));
-    look_for_news();
+    if (!cancelled) look();
   });
 }
 
--- a/src/daemon/operators.h
+++ b/src/daemon/operators.h
@@ -13,6 +13,7 @@
 #include "management/front.h"
 #include "net/clock.h"
 #include "net/links.h"
+#include "takeover/presence.h"
 #include "takeover/shared_folder.h"
 
 namespace streampick::node {
@@ -20,8 +21,9 @@
 class Operators final {
  public:
   // `folder`: where the process after this one finds what was said; empty: nowhere.
+  // `alone`: told, often, whether no other process of this router runs.
   Operators(boost::asio::io_context& io, Clock& clock, Engine& engine, Links& links,
-            const std::string& folder);
+            const std::string& folder, std::function<void(bool alone)> alone);
 
   // Throws boost::system::system_error when the address can't be listened on.
   void listen(const boost::asio::ip::tcp::endpoint& address);
@@ -36,7 +38,7 @@
  private:
   void change(const std::function<void(control::Overrides&)>& what);
   void take(control::Overrides next);
-  void look_for_news();
+  void look();
   std::string leave_out(const std::string& id);
   std::string call_back(const std::string& id);
 
@@ -46,6 +48,8 @@
   Links& links_;
   control::Overrides overrides_;
   std::optional<takeover::SharedFolder> shared_;
+  std::optional<takeover::Presence> presence_;
+  std::function<void(bool)> alone_;
   boost::asio::steady_timer look_;
   std::unique_ptr<management::OperatorsFront> front_;
   bool ready_ = false;
--- a/src/engine/body_stream.cpp
+++ b/src/engine/body_stream.cpp
@@ -24,6 +24,7 @@
   out.clear();
   if (waits_.empty()) return false;
   out.swap(waits_);
+  taken_ += out.size();
   if (std::exchange(stopped_, false) && room) room();
   return true;
 }
--- a/src/engine/body_stream.h
+++ b/src/engine/body_stream.h
@@ -1,5 +1,6 @@
-// An answer's body that is passed on as it comes: what a transport reads goes in, what a front has room for
-// goes out, and a bounded part waits between them. No I/O; for one thread.
+// A body that is passed on as it comes: of an answer, what a transport reads goes in and what a front has
+// room for goes out; of a long request, the other way round. A bounded part waits between them. No I/O; for
+// one thread.
 //
 // Either side may be the slower one. A writer that is told to stop reads no more from its server until `room`
 // calls it; a reader that has taken all waits until `came` calls it. `came` is called from within the
@@ -42,11 +43,12 @@
   void leave();
 
   std::uint64_t passed() const { return passed_; }  // bytes put so far
+  std::uint64_t taken() const { return taken_; }    // ... and taken
 
  private:
   std::optional<std::uint64_t> length_;
   std::size_t most_;
-  std::uint64_t passed_ = 0;
+  std::uint64_t passed_ = 0, taken_ = 0;
   std::string waits_;
   State state_ = State::open;
   bool stopped_ = false, wanted_ = true;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -13,6 +13,8 @@
 constexpr Time kAnswerTakes = 20 * kMs, kGuardBefore = 8 * kMs;
 constexpr Time kAcceptAfterTerm = 500 * kMs, kAnswerAfterTerm = 3'200 * kMs, kLastWrites = 200 * kMs;
 constexpr Time kRememberTxn = 2 * kSecond;
+// A long body may take so long to come; its front ends one that comes too slowly.
+constexpr Time kLongestUpload = 600 * kSecond;
 constexpr int kMadeUp = 600;  // of the module's wake-ups after a rest: two minutes of its ticks
 constexpr std::size_t kMostEndedTxns = 4096, kLeastSweep = 1024;
 
@@ -97,7 +99,8 @@
   ++counts_.attempts;
   const bool known = server < servers_.size() && servers_[server].transport;
   if (known) ++servers_[server].live;
-  if (!known || open.over || time_out < 0 || expires <= now) {
+  // A body of which a part has gone can't be had again: by half nothing is sent.
+  if (!known || open.over || time_out < 0 || expires <= now || (number > 0 && open.message->spent())) {
     ended_.push_back({{request, number}, Outcome::not_sent});
     return;
   }
@@ -162,9 +165,9 @@
   classes_.opened(open.request_class);
   open.ticket = figures_.begin(ends_.at(incoming.request_class));
   // A router told to stop is killed in the end: what it still takes must be answered before that.
-  const Time gives_up = std::min(now + incoming.remaining, drain_end_);
-  open.deadline = gives_up - std::min(kAnswerTakes, incoming.remaining / 10);
-  open.guard = gives_up - std::min(kGuardBefore, incoming.remaining / 25);
+  const Time upload = open.message->upload ? kLongestUpload : 0;
+  open.patience = incoming.remaining;
+  set_time(open, std::min(now + upload + incoming.remaining, drain_end_), incoming.remaining);
   expire_at({open.guard, id, kNone});
 
   Request request;
@@ -183,6 +186,31 @@
   return id;
 }
 
+void Engine::set_time(Open& open, Time gives_up, Time patience) {
+  open.deadline = gives_up - std::min(kAnswerTakes, patience / 10);
+  open.guard = gives_up - std::min(kGuardBefore, patience / 25);
+}
+
+void Engine::body_came(RequestId request) {
+  const auto found = requests_.find(request);
+  if (found == requests_.end() || found->second.over) return;
+  Open& open = found->second;
+  set_time(open, std::min(time_.now() + open.patience, drain_end_), open.patience);
+  open.moved = true;
+  expire_at({open.guard, request, kNone});
+  for (std::uint32_t i = 0; i < open.attempts.size(); ++i) {
+    if (!open.attempts[i].live) continue;
+    open.attempts[i].expires = open.deadline;
+    expire_at({open.deadline, request, i});
+  }
+  settle();
+}
+
+// Nobody takes what still comes of it.
+void Engine::end_upload(const Open& open) {
+  if (open.message->upload) open.message->upload->leave();
+}
+
 void Engine::withdrawn(RequestId request) {
   const auto found = requests_.find(request);
   if (found == requests_.end() || found->second.over) return;
@@ -190,6 +218,7 @@
   found->second.over = true;
   found->second.asker.reset();
   found->second.ticket = {};
+  end_upload(found->second);
   router_->on_withdrawn(time_.now(), request);
   forget_if_done(request);
   settle();
@@ -215,6 +244,7 @@
                        : reply.kind == Reply::Kind::refused ? Figures::End::busy
                                                             : Figures::End::failure);
   const std::uint64_t tag = open.tag;
+  end_upload(open);
   if (asker) asker->reply(tag, std::move(reply));
   ended_.push_back({{request, kNone}, Outcome::not_sent});  // to be looked at once the module is done
 }
@@ -257,6 +287,7 @@
   result.outcome = outcome;
   result.took = time_.now() - attempt.sent;
   result.request_over = open.over;
+  result.spent = open.message->spent();
   router_->on_result(time_.now(), result);
   if (result.server < servers_.size() && servers_[result.server].live > 0) {
     --servers_[result.server].live;
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -100,6 +100,7 @@
 
   RequestId asked(const std::shared_ptr<Asker>& asker, Incoming incoming) override;
   void withdrawn(RequestId request) override;
+  void body_came(RequestId request) override;
   void turned_away(std::uint32_t request_class) override;
   void list_came(const MemberList& list) override;
   void list_failed() override;
@@ -116,6 +117,7 @@
     std::shared_ptr<const Message> message;
     std::uint64_t tag = 0, txn = 0, key = 0;
     std::uint32_t request_class = 0;
+    Time patience = 0;  // of the client, from its last byte on
     Time asked = 0, deadline = 0, guard = 0;
     std::string why;
     Figures::Ticket ticket;
@@ -158,6 +160,8 @@
   void store_back(const Open& open, const Answer& answer);
   void void_copies(const std::string& key);
   void report(AttemptId attempt, Outcome outcome);
+  static void set_time(Open& open, Time gives_up, Time patience);
+  void end_upload(const Open& open);
   void forget_if_done(RequestId request);
   void forget_txns();
   void forget_if_gone(ServerId server);
--- a/src/engine/front.h
+++ b/src/engine/front.h
@@ -51,6 +51,8 @@
   // Returns the id that the request is known by from here on; 0: one with its txn is still open.
   virtual RequestId asked(const std::shared_ptr<Asker>& asker, Incoming incoming) = 0;
   virtual void withdrawn(RequestId request) = 0;
+  // The last byte of a long body has come: the client's time runs from here.
+  virtual void body_came(RequestId /*request*/) {}
   // One of the class was turned away unread, and never asked.
   virtual void turned_away(std::uint32_t /*request_class*/) {}
 };
--- a/src/engine/message.h
+++ b/src/engine/message.h
@@ -22,22 +22,6 @@
   return operation == Operation::write || operation == Operation::other_write;
 }
 
-// The part of a request that goes on to a server, unchanged.
-struct Message {
-  Operation operation = Operation::read;
-  std::string target;           // the whole of what the client named, as it named it
-  std::string txn;              // the request's id: 16 hex digits
-  std::string idempotency_key;  // empty: none
-  std::string content_type;     // of the body; empty: not told
-  std::string body;             // of a write
-  std::string key;              // the part of the target that names the object
-  // The command word by word, where a key and a body don't say all of it. A server that can't read it may
-  // still answer a plain read with the value.
-  std::vector<std::string> words;
-  // Who asked can pass an answer's body on while it still comes.
-  bool in_parts = false;
-};
-
 // A part of the memory set aside for large bodies, given back when its holder goes.
 class Lease {
  public:
@@ -51,6 +35,7 @@
     std::swap(bytes_, other.bytes_);
     return *this;
   }
+  explicit operator bool() const { return held_ != nullptr; }
   ~Lease() {
     if (held_) *held_ -= bytes_;
   }
@@ -60,6 +45,28 @@
   std::size_t bytes_ = 0;
 };
 
+// The part of a request that goes on to a server, unchanged.
+struct Message {
+  Operation operation = Operation::read;
+  std::string target;           // the whole of what the client named, as it named it
+  std::string txn;              // the request's id: 16 hex digits
+  std::string idempotency_key;  // empty: none
+  std::string content_type;     // of the body; empty: not told
+  std::string body;             // of a write, where it is kept
+  Lease lease = {};             // ... and is over the usual size
+  // The body of a write that is too long to be kept: it goes on as it comes. Nothing of it can be had twice:
+  // once some was taken, the request can't be sent again.
+  std::shared_ptr<BodyStream> upload = {};
+  std::string key;  // the part of the target that names the object
+  // The command word by word, where a key and a body don't say all of it. A server that can't read it may
+  // still answer a plain read with the value.
+  std::vector<std::string> words;
+  // Who asked can pass an answer's body on while it still comes.
+  bool in_parts = false;
+
+  bool spent() const { return upload && upload->taken() > 0; }
+};
+
 // What a server answered. `form` tells a value from the answers that hold none.
 struct Answer {
   // old_value: what a write replaced.
--- a/src/engine/message_pool.h
+++ b/src/engine/message_pool.h
@@ -55,6 +55,8 @@
       if (store->free.size() >= kMostFree) return;
       message->operation = Operation::read;
       message->in_parts = false;
+      message->lease = {};
+      message->upload.reset();
       message->words.clear();
       for (std::string* text : {&message->target, &message->txn, &message->idempotency_key,
                                 &message->content_type, &message->body, &message->key}) {
--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -23,6 +23,8 @@
 // A connection that has not sent its first whole request this long after it was accepted, or a later one
 // this long after its first byte, is owed an end within 3 s.
 constexpr Time kWholeRequest = 2'300 * kMs;
+// A body may come at 64 kB a second: so much time it is given beyond that, and then a little.
+constexpr Time kPerKilobyte = 18 * kMs;
 constexpr Time kStuck = 10 * kSecond, kLinger = kSecond;
 constexpr Time kYoung = 50 * kMs;  // its first request may still be on its way
 constexpr std::chrono::milliseconds kSweepEvery{100};
@@ -165,7 +167,8 @@
   }
 
   void reply(std::uint64_t, Reply reply) override {
-    if (owner_ == nullptr || state_ != State::asked) return;
+    if (owner_ == nullptr || (state_ != State::asked && state_ != State::uploading)) return;
+    if (state_ == State::uploading) last_ = true;  // the rest of its body is still to come
     answer(response_for(std::move(reply)));
   }
 
@@ -178,12 +181,19 @@
 
   // It has stood still for too long.
   void expire() {
-    const bool half_asked = state_ == State::begun || (state_ == State::fresh && !silent());
+    const bool half_asked = state_ == State::begun || state_ == State::receiving ||
+                            state_ == State::uploading || (state_ == State::fresh && !silent());
     if (!half_asked) return close();
+    give_upload_up();
     last_ = true;
     answer(problem(408, "the request did not come in time"));
   }
 
+  // Its body comes more slowly than a client of ours may send.
+  bool too_slow(Time now) const {
+    return !held_ && now - since_ > kWholeRequest + static_cast<Time>(body_got_ / 1'000) * kPerKilobyte;
+  }
+
   // Between requests: what crosses it is sent once more by the client, on a new connection.
   void close_if_idle() {
     if ((state_ == State::idle || state_ == State::fresh) && silent() && !unread()) close();
@@ -197,7 +207,9 @@
     lease_ = {};
     ticket_ = {};
     stream_.reset();
-    const RequestId gone = state_ == State::asked ? std::exchange(request_, 0) : 0;
+    end_upload(BodyStream::State::cut);
+    const RequestId gone =
+        state_ == State::asked || state_ == State::uploading ? std::exchange(request_, 0) : 0;
     const auto self = shared_from_this();
     owner.closed(place_, state_);
     if (gone == 0) return;
@@ -207,6 +219,7 @@
   void detach() {
     owner_ = nullptr;
     stream_.reset();
+    end_upload(BodyStream::State::cut);
     error_code ignored;
     socket_.close(ignored);
   }
@@ -220,13 +233,16 @@
   }
 
   void next_message() {
-    parser_.emplace(head_, in_body_, kLongestBody);
+    parser_.emplace(head_, in_body_, kLongestUpload);
     told_to_go_on_ = checked_ = weighed_ = false;
+    body_got_ = 0;
+    in_lease_ = {};
   }
 
   void wait() {
     if (owner_ == nullptr || waiting_) return;
     if (state_ == State::asked && ahead_.size() > kMostAhead) return;  // again once it is answered
+    if (state_ == State::uploading && held_) return;                   // again once there is room
     waiting_ = true;
     socket_.async_read_some(asio::buffer(chunk_),
                             [self = shared_from_this()](error_code error, std::size_t got) {
@@ -243,15 +259,20 @@
     if (state_ == State::lingering) {
       // A body of any size may still be on its way; what nobody reads is not worth much time.
       discarded_ += got;
-      if (discarded_ > kMostDiscarded) close();
+      if (discarded_ > (upload_ended_ ? kLongestUpload : kMostDiscarded)) close();
       return;
     }
     owner_->admission_.touch();
     const std::string_view bytes(chunk_.data(), got);
-    if (state_ == State::asked || state_ == State::writing) {
+    if (state_ == State::uploading) {
       ahead_ += bytes;
+      upload_more();
+    } else if (state_ == State::asked || state_ == State::writing) {
+      // What is left of a body that nobody wants any more is no request.
+      if (!upload_ended_) ahead_ += bytes;
     } else if (ahead_.empty()) {
       ahead_ = bytes.substr(parse(bytes));
+      if (state_ == State::uploading) upload_more();
     } else {
       ahead_ += bytes;
       parse_ahead();
@@ -260,6 +281,7 @@
 
   void parse_ahead() {
     ahead_.erase(0, parse(ahead_));
+    if (state_ == State::uploading) upload_more();
     if (ahead_.empty() && ahead_.capacity() > 64) std::string().swap(ahead_);
   }
 
@@ -272,7 +294,7 @@
     if (failed) {
       last_ = true;
       if (failed == http::error::body_limit) {
-        answer(problem(413, "the body is over 64 KiB"));
+        answer(problem(413, "the body is over 32 MiB"));
       } else {
         answer(problem(400, failed.message()));
       }
@@ -284,16 +306,134 @@
       return used;
     }
     if (parser_->is_header_done() && !std::exchange(weighed_, true) && shed()) return used;
+    if (parser_->is_header_done()) {
+      body_got_ += used;
+      if (!parser_->is_done() && (state_ == State::begun || state_ == State::fresh))
+        go_over(State::receiving);
+    }
     if (parser_->is_done()) {
+      if (!may_keep()) return no_memory(), used;
       asked();
-    } else if (parser_->is_header_done() && !told_to_go_on_ &&
-               beast::iequals(head_.expect.value, "100-continue")) {
+    } else if (parser_->is_header_done() && !may_keep()) {
+      go_on();
+      upload();
+    } else {
+      go_on();
+    }
+    return used;
+  }
+
+  // The time that a message has runs on from its first byte.
+  void go_over(State state) {
+    const Time began = since_;
+    enter(state);
+    since_ = began;
+  }
+
+  // Whether the body is kept until it is whole, and there is memory for that.
+  bool may_keep() {
+    const auto length = parser_->content_length();
+    const std::uint64_t least = std::max<std::uint64_t>(length.value_or(0), in_body_.size());
+    if (least <= kLongestBody || in_lease_) return least <= kMostKept;
+    if (least > kMostKept) return false;
+    auto lease = owner_->links_.lease(length ? static_cast<std::size_t>(*length) : kMostKept);
+    if (lease) in_lease_ = std::move(*lease);
+    return static_cast<bool>(in_lease_);
+  }
+  void no_memory() {
+    last_ = last_ || !parser_->is_done() || !parser_->keep_alive();
+    upload_ended_ = !parser_->is_done();
+    const std::uint32_t request_class = index_of(owner_->names_.classes, head_.lane.value);
+    if (request_class != kNone) owner_->requests_.turned_away(request_class);
+    answer({503,
+            "text/plain",
+            "refused, no memory for the body now; it is safe to try again\n",
+            owner_->admission_.retry_after(hash_name(head_.txn.value)),
+            {},
+            {}});
+  }
+  void go_on() {
+    if (parser_->is_header_done() && !told_to_go_on_ && beast::iequals(head_.expect.value, "100-continue")) {
       told_to_go_on_ = true;
       static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
       error_code ignored;
       socket_.write_some(asio::buffer(go_on), ignored);
     }
-    return used;
+  }
+
+  // A long body: it is asked for now, and its body goes on as it comes.
+  void upload() {
+    if (head_.method != http::verb::put) return wrong(problem(413, "the body is over 64 KiB"));
+    auto lease = owner_->links_.lease(kPartsWaiting);
+    if (!lease) return no_memory();
+    std::string none;
+    auto read = read_request(head_, none, owner_->names_, owner_->messages_);
+    if (Response* problem_found = std::get_if<Response>(&read)) return wrong(std::move(*problem_found));
+    in_lease_ = std::move(*lease);
+    const auto length = parser_->content_length();
+    upload_ = std::make_shared<BodyStream>(length ? std::optional<std::uint64_t>(*length) : std::nullopt,
+                                           kPartsWaiting);
+    const auto post = [weak = weak_from_this()](void (Session::*what)()) {
+      if (const auto self = weak.lock())
+        asio::post(self->socket_.get_executor(), [self, what] {
+          if (self->owner_ != nullptr) (self.get()->*what)();
+        });
+    };
+    upload_->room = [post] { post(&Session::there_is_room); };
+    last_ = !parser_->keep_alive();
+    go_over(State::uploading);
+    auto incoming = std::get<Incoming>(std::move(read));
+    incoming.message->upload = upload_;
+    pass_body_on();
+    const RequestId request = owner_->requests_.asked(shared_from_this(), std::move(incoming));
+    if (request == 0) {
+      end_upload(BodyStream::State::cut);
+      return wrong(problem(409, "a request with this X-Txn is open"));
+    }
+    if (state_ == State::uploading) request_ = request;
+  }
+  void pass_body_on() {
+    held_ = !upload_->put(in_body_);
+    in_body_.clear();
+  }
+  void upload_more() {
+    error_code failed;
+    const std::size_t used = parser_->read(ahead_, failed);
+    ahead_.erase(0, used);
+    body_got_ += used;
+    if (!failed && ahead_.size() > kMostAhead) failed = http::error::header_limit;  // a line without end
+    if (failed) {
+      give_upload_up();
+      last_ = true;
+      const bool too_long = failed == http::error::body_limit;
+      return answer(problem(too_long ? 413 : 400, too_long ? "the body is over 32 MiB" : failed.message()));
+    }
+    pass_body_on();
+    if (!parser_->is_done()) return;
+    end_upload(BodyStream::State::whole);
+    enter(State::asked);
+    owner_->requests_.body_came(request_);
+  }
+  void there_is_room() {
+    if (state_ != State::uploading || !held_) return;
+    held_ = false;
+    since_ = owner_->clock_.now();  // the wait was not its client's
+    wait();
+  }
+  void end_upload(BodyStream::State how) {
+    if (!upload_) return;
+    const auto upload = std::exchange(upload_, nullptr);
+    upload->room = nullptr;
+    held_ = false;
+    upload->end(how);
+  }
+  // It will never be whole: what the server has of it is no request.
+  void give_upload_up() {
+    if (state_ != State::uploading) return;
+    const RequestId gone = std::exchange(request_, 0);
+    end_upload(BodyStream::State::cut);
+    upload_ended_ = true;
+    if (gone != 0) owner_->requests_.withdrawn(gone);
   }
 
   // Turned away while the loop is behind: before a body is read, and before anything is made of the head.
@@ -323,6 +463,7 @@
 
   void asked() {
     last_ = !parser_->keep_alive();
+    const bool large = in_body_.size() > kLongestBody;
     // The platform's question needs no Host: what it asks with is not written down.
     if (origin_form(head_.target) == "/up") {
       if (head_.method != http::verb::get) return wrong(problem(405, "GET only"));
@@ -330,6 +471,8 @@
     }
     auto read = read_request(head_, in_body_, owner_->names_, owner_->messages_);
     if (Response* problem_found = std::get_if<Response>(&read)) return wrong(std::move(*problem_found));
+    if (large && head_.method != http::verb::put) return wrong(problem(413, "the body is over 64 KiB"));
+    if (large) std::get<Incoming>(read).message->lease = std::move(in_lease_);
     enter(State::asked);
     // It may be answered within the call, before its id is known here.
     const RequestId request =
@@ -346,6 +489,11 @@
 
   void answer(Response reply) {
     if (reply.status >= 400 && reply.status < 500) ++owner_->counts_.unread;
+    if (upload_) {
+      end_upload(BodyStream::State::cut);
+      upload_ended_ = true;
+    }
+    in_lease_ = {};
     enter(State::writing);
     request_ = 0;
     last_ = last_ || owner_->draining_;
@@ -477,20 +625,23 @@
   std::optional<RequestReader> parser_;
   Lease lease_;  // of the answer's body
   Figures::Ticket ticket_;
-  BodyReader stream_;  // the rest of it, where it comes in parts
+  Lease in_lease_;                      // of a long body that comes
+  std::shared_ptr<BodyStream> upload_;  // where it goes, if it goes on as it comes
+  std::size_t body_got_ = 0;            // bytes of the message since its head was read
+  BodyReader stream_;                   // the rest of it, where it comes in parts
   RequestId request_ = 0;
   Time since_;  // the last change of state
   std::size_t discarded_ = 0, written_ = 0, answers_ = 0;
   Queue::iterator place_;
   State state_ = State::fresh;
   bool waiting_ = false, last_ = false, told_to_go_on_ = false, checked_ = false, weighed_ = false;
-  bool in_chunks_ = false, part_wanted_ = false;
+  bool in_chunks_ = false, part_wanted_ = false, held_ = false, upload_ended_ = false;
   std::array<char, kChunk> chunk_;
 };
 
 Clients::Clients(asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
                  const tcp::endpoint& listen, overload::Descriptors& descriptors,
-                 const overload::Settings& limits, Admission& admission, int passed)
+                 const overload::Settings& limits, Admission& admission, const Links& links, int passed)
     : clock_(clock),
       names_(names),
       requests_(requests),
@@ -498,7 +649,8 @@
       sweep_(io),
       descriptors_(descriptors),
       rules_(descriptors.total(), limits),
-      admission_(admission) {
+      admission_(admission),
+      links_(links) {
   sweep();
 }
 
@@ -554,8 +706,11 @@
 }
 
 std::size_t Clients::held() const {
-  return queue(State::idle).size() + queue(State::begun).size() + queue(State::asked).size() +
-         queue(State::writing).size();
+  std::size_t out = 0;
+  for (const State state :
+       {State::idle, State::begun, State::receiving, State::uploading, State::asked, State::writing})
+    out += queue(state).size();
+  return out;
 }
 
 bool Clients::has_place() {
@@ -615,6 +770,14 @@
       ++counts_.expired;
       session->expire();
     }
+  for (const State state : {State::receiving, State::uploading}) {
+    const Queue all = queue(state);
+    for (const auto& session : all)
+      if (session->too_slow(now)) {
+        ++counts_.expired;
+        session->expire();
+      }
+  }
   // Connections go on coming for a little, and some say nothing.
   if (draining_ && !gentle_) close_idle(kSecond);
   sweep_.expires_after(kSweepEvery);
@@ -627,7 +790,7 @@
   const auto half_asked = static_cast<std::size_t>(
       std::count_if(queue(State::fresh).begin(), queue(State::fresh).end(),
                     [](const auto& session) { return !session->silent() || session->unread(); }));
-  return half_asked + queue(State::begun).size() + queue(State::asked).size() + queue(State::writing).size();
+  return half_asked + held() - queue(State::idle).size();
 }
 
 }  // namespace streampick::node
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -15,6 +15,7 @@
 #include "engine/message_pool.h"
 #include "net/admission.h"
 #include "net/clock.h"
+#include "net/links.h"
 #include "net/listener.h"
 #include "overload/connections.h"
 #include "overload/descriptors.h"
@@ -40,7 +41,7 @@
   // listens there already, held by other processes too; -1: none. Accepts from open_doors() on.
   Clients(boost::asio::io_context& io, Clock& clock, const Names& names, Requests& requests,
           const boost::asio::ip::tcp::endpoint& listen, overload::Descriptors& descriptors,
-          const overload::Settings& limits, Admission& admission, int passed = -1);
+          const overload::Settings& limits, Admission& admission, const Links& links, int passed = -1);
   ~Clients() override;
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
@@ -64,7 +65,9 @@
   using Queue = std::list<std::shared_ptr<Session>>;
   // What a connection is doing. Each has a queue, in the order in which they began it, so that what has
   // stood longest is found at once, however many there are.
-  enum class State : std::uint8_t { fresh, idle, begun, asked, writing, lingering };
+  // `receiving`: the head is read, the body is not; `uploading`: it is asked already, and goes on as it
+  // comes.
+  enum class State : std::uint8_t { fresh, idle, begun, receiving, uploading, asked, writing, lingering };
 
   Queue& queue(State state) { return queues_[static_cast<std::size_t>(state)]; }
   const Queue& queue(State state) const { return queues_[static_cast<std::size_t>(state)]; }
@@ -88,10 +91,11 @@
   overload::Descriptors& descriptors_;
   overload::ConnectionRules rules_;
   Admission& admission_;
+  const Links& links_;  // the memory for long bodies
   std::size_t open_ = 0;
   Counts counts_;
   MessagePool messages_;
-  std::array<Queue, 6> queues_;
+  std::array<Queue, 8> queues_;
   bool draining_ = false;
   bool gentle_ = false;  // clients' connections may ask once more, though we drain
 };
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -18,6 +18,9 @@
 namespace http = beast::http;
 
 inline constexpr std::size_t kLongestBody = 64 * 1024, kLongestHeader = 16 * 1024, kReadChunk = 8 * 1024;
+// A longer body of a request is kept up to the first while there is memory for it, and goes on as it comes up
+// to the second.
+inline constexpr std::size_t kMostKept = 1024 * 1024, kLongestUpload = 32 * 1024 * 1024;
 // The protocol has no body over 64 KiB, but servers were seen to answer with 350 KB, as good as any other.
 inline constexpr std::size_t kLongestAnswer = 1024 * 1024;
 // Of a body that is passed on as it comes: what waits between the two sides, at most.
--- a/src/http1/transport.cpp
+++ b/src/http1/transport.cpp
@@ -74,11 +74,26 @@
     if (!message.idempotency_key.empty())
       head_out_.append("\r\nIdempotency-Key: ").append(message.idempotency_key);
     if (!message.content_type.empty()) head_out_.append("\r\nContent-Type: ").append(message.content_type);
-    if (put || !message.body.empty())
-      append_number(head_out_.append("\r\nContent-Length: "), message.body.size());
+    const BodyStream* upload = message.upload.get();
+    if (upload != nullptr && !upload->length()) {
+      head_out_ += "\r\nTransfer-Encoding: chunked";
+    } else if (put || !message.body.empty()) {
+      append_number(head_out_.append("\r\nContent-Length: "),
+                    upload != nullptr ? *upload->length() : message.body.size());
+    }
     head_out_ += "\r\n\r\n";
     written_ = 0;
     writing_ = true;
+    body_out_ = upload != nullptr ? BodyOut::comes : BodyOut::none;
+    if (upload != nullptr)
+      // Called by the front, from within what it reads: the writing waits for a turn of the loop.
+      message.upload->came = [weak = weak_from_this(), attempt = job_->attempt] {
+        if (const auto link = weak.lock())
+          asio::post(link->socket_.get_executor(), [link, attempt] {
+            if (link->owner_ != nullptr && link->job_ && link->job_->attempt == attempt && link->starved_)
+              link->push();
+          });
+      };
     push();
     wait();
   }
@@ -120,15 +135,52 @@
   }
 
  private:
-  std::size_t length() const { return head_out_.size() + job_->message->body.size(); }
-  bool whole() const { return written_ == length(); }
+  // Of a body that goes on as it comes, the part in hand stands behind the head, or is the body itself.
+  const std::string& body_part() const {
+    return body_out_ == BodyOut::none ? job_->message->body : upload_part_;
+  }
+  bool part_out() const { return written_ == head_out_.size() + body_part().size(); }
+  bool whole() const { return part_out() && (body_out_ == BodyOut::none || body_out_ == BodyOut::ended); }
+
+  // Puts the next part of a long body to be written. False: none is there, or it will never be whole.
+  bool next_part() {
+    BodyStream& upload = *job_->message->upload;
+    starved_ = false;
+    head_out_.clear();
+    written_ = 0;
+    upload_part_.clear();
+    if (upload.take(upload_part_)) {
+      if (upload.length()) return true;
+      std::array<char, 20> size{};
+      head_out_.assign(size.data(),
+                       std::to_chars(size.data(), size.data() + size.size(), upload_part_.size(), 16).ptr);
+      head_out_ += "\r\n";
+      upload_part_ += "\r\n";
+      return true;
+    }
+    if (upload.state() == BodyStream::State::whole) {
+      body_out_ = BodyOut::ended;
+      if (!upload.length()) head_out_ = "0\r\n\r\n";
+      return true;
+    }
+    starved_ = upload.state() == BodyStream::State::open;
+    // Its client has gone: what the server has of it is no request.
+    if (!starved_) broke_soon();
+    return false;
+  }
+  void broke_soon() {
+    asio::post(socket_.get_executor(), [self = shared_from_this()] { self->written(true); });
+  }
 
   // Writes what the socket takes; waits only when it takes no more.
   void push() {
-    const std::string& body = job_->message->body;
     while (!whole()) {
+      if (part_out()) {
+        if (!next_part()) return;
+        continue;
+      }
       error_code error;
-      written_ += write_rest(socket_, head_out_, body, written_, error);
+      written_ += write_rest(socket_, head_out_, body_part(), written_, error);
       if (error == asio::error::would_block) {
         socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
           if (self->owner_ == nullptr || !self->job_) return;
@@ -139,7 +191,7 @@
       }
       if (error) {
         // Not from within the call that sent it.
-        asio::post(socket_.get_executor(), [self = shared_from_this()] { self->written(true); });
+        broke_soon();
         return;
       }
     }
@@ -191,6 +243,8 @@
     // An answer to a request that is not out yet is not an answer to it.
     if (writing_) {
       early_ = true;
+      // Of a long body the rest may be long in coming, and is of no use any more.
+      if (body_out_ != BodyOut::none) return finish(Outcome::connect_failed, {}, false);
       return;
     }
     const std::string_view bytes(chunk_.data(), got);
@@ -391,7 +445,7 @@
   void broke() {
     if (stream_) return cut("its connection broke");
     broken_ = true;
-    if (!writing_) finish(whole() ? Outcome::reset : Outcome::connect_failed, {}, false);
+    if (!writing_ || starved_) finish(whole() ? Outcome::reset : Outcome::connect_failed, {}, false);
   }
 
   void written(bool error) {
@@ -407,6 +461,8 @@
     const AttemptId attempt = job_->attempt;
     job_.reset();
     lease_ = {};
+    starved_ = false;
+    std::string().swap(upload_part_);
     std::string().swap(body_);
     const Time now = owner.clock_.now();
     if (outcome == Outcome::served || outcome == Outcome::miss) owner.answered_after(now - began);
@@ -436,6 +492,8 @@
   std::optional<Job> job_;
   std::string head_out_;     // of the request; its body is the job's
   std::size_t written_ = 0;  // of both
+  enum class BodyOut : std::uint8_t { none, comes, ended } body_out_ = BodyOut::none;
+  std::string upload_part_;  // of a body that goes on as it comes
   ResponseHead head_;
   std::string body_;
   std::optional<ResponseReader> parser_;
@@ -445,7 +503,7 @@
   int interim_ = 0;
   bool header_seen_ = false;
   bool made_ = false, waiting_ = false, writing_ = false, broken_ = false, early_ = false, drained_ = false,
-       held_ = false;
+       held_ = false, starved_ = false;
   std::array<char, kChunk> chunk_;
 };
 
--- a/src/overload/descriptors.h
+++ b/src/overload/descriptors.h
@@ -29,7 +29,18 @@
   }
 
   Descriptors() = default;
-  explicit Descriptors(const Limits& limits) : limits_(limits) {}
+  explicit Descriptors(const Limits& limits) : limits_(limits), all_(limits) {}
+
+  // Half of all while two processes of one router run: together they may hold no more than one. What is held
+  // already stays until it is given back; over() tells how much that is too much.
+  void halve(bool halved) {
+    const std::size_t by = halved ? 2 : 1;
+    limits_ = {all_.total / by, all_.clients_floor / by, all_.servers_floor / by};
+  }
+  std::size_t over() const {
+    const std::size_t used = used_[0] + used_[1];
+    return used > limits_.total ? used - limits_.total : 0;
+  }
 
   std::size_t total() const { return limits_.total; }
   std::size_t floor(Side side) const {
@@ -58,7 +69,7 @@
  private:
   static constexpr std::size_t index(Side side) { return static_cast<std::size_t>(side); }
   static constexpr Side other_of(Side side) { return side == Side::clients ? Side::servers : Side::clients; }
-  Limits limits_;
+  Limits limits_, all_;
   std::array<std::size_t, 2> used_{}, peaks_{};
 };
 
--- a/src/policy/origin.h
+++ b/src/policy/origin.h
@@ -86,7 +86,7 @@
     const double took = static_cast<double>(now_ - attempt.sent);
     const double aim = static_cast<double>(class_of(open).aim);
     bool crowded = result.outcome == Outcome::full || (result.outcome == Outcome::timeout && !attempt.stuck);
-    if (result.outcome == Outcome::served) {
+    if (result.outcome == Outcome::served && !result.spent) {
       if (origin_now_ <= 0) origin_now_ = origin_base_ = took;
       origin_now_ += (took - origin_now_) * forget(origin_at_, 2 * kForget);
       origin_base_ = std::min(origin_base_ * 1.002, origin_now_);
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -68,7 +68,7 @@
       release(slot);
     } else if (result.request_over) {
       finish(slot);
-    } else if (now_ >= open.request.deadline) {
+    } else if (now_ >= open.request.deadline || result.spent) {
       give_up(slot);
     } else if (attempt.origin && attempt.stuck && result.outcome == Outcome::cancelled) {
       ask_origin(slot);
--- a/src/resp/pipeline.cpp
+++ b/src/resp/pipeline.cpp
@@ -155,14 +155,18 @@
 
 void Pipeline::remove(const std::string& key) { offer(Role::store, {"DEL", key}); }
 
-void Pipeline::written(std::size_t bytes) {
+std::size_t Pipeline::written(std::size_t bytes) {
   out_at_ += bytes;
-  written_ += bytes;
+  const std::uint64_t before = std::exchange(written_, written_ + bytes);
+  const auto whole = std::count_if(entries_.begin(), entries_.end(), [&](const Entry& entry) {
+    return entry.role == Role::attempt && entry.end > before && entry.end <= written_;
+  });
   if (out_at_ == out_.size()) {
     out_.clear();
     out_at_ = 0;
     if (out_.capacity() > 64 * 1024) out_.shrink_to_fit();
   }
+  return static_cast<std::size_t>(whole);
 }
 
 std::size_t Pipeline::sent_whole() const {
--- a/src/resp/pipeline.h
+++ b/src/resp/pipeline.h
@@ -50,9 +50,10 @@
   // Drops a copy, likewise.
   void remove(const std::string& key);
 
-  // Bytes that are to be written, as one run; written() says how many of them were.
+  // Bytes that are to be written, as one run; written() says how many of them were, and returns how many
+  // attempts are out whole with them.
   std::string_view output() const { return std::string_view(out_).substr(out_at_); }
-  void written(std::size_t bytes);
+  std::size_t written(std::size_t bytes);
   // Takes back what has no byte written yet: none of it ran. For a drain.
   void drop_unsent();
 
--- a/src/resp/transport.cpp
+++ b/src/resp/transport.cpp
@@ -75,7 +75,7 @@
       const std::string_view bytes = pipe.output();
       error_code error;
       const std::size_t put = socket_.write_some(asio::buffer(bytes.data(), bytes.size()), error);
-      pipe.written(put);
+      owner_->links_.written_whole += pipe.written(put);
       if (error == asio::error::would_block) {
         writing_ = true;
         socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](error_code failed) {
@@ -205,6 +205,8 @@
 }
 
 void RespTransport::send(AttemptId attempt, std::shared_ptr<const node::Message> message, Time expires) {
+  // A value stands whole in its command: one that is too long to be kept has no form here.
+  if (message->upload) return end_soon(attempt, Outcome::rejected);
   if (waiting_.size() >= settings_.waiting) return end_soon(attempt, Outcome::connect_failed);
   waiting_.push_back({attempt, std::move(message), expires});
   dispatch();
--- /dev/null
+++ b/tests/http1/upload_test.cpp
@@ -0,0 +1,229 @@
+// Long bodies of requests: kept while there is memory, passed on as they come beyond that, over loopback
+// sockets.
+#include "loopback.h"
+
+namespace streampick::node::test {
+namespace {
+
+std::string pattern(std::size_t size) {
+  std::string out(size, '\0');
+  for (std::size_t i = 0; i < size; ++i) out[i] = static_cast<char>((i * 2654435761U) >> 13U);
+  return out;
+}
+
+class Upload : public Loopback {
+ protected:
+  std::string head(const std::string& length, const std::string& lane = "pay", const std::string& more = "") {
+    return request_text("PUT", "/" + lane + "/1", lane, "", "8.0", more + length + "\r\n");
+  }
+  static std::string length_of(const std::string& body) {
+    return "Content-Length: " + std::to_string(body.size());
+  }
+  static std::string body_of(const std::string& message) {
+    return message.substr(message.find("\r\n\r\n") + 4);
+  }
+  // Written as the other side takes it.
+  void send(FakeClient& to, std::string text) {
+    const auto held = std::make_shared<std::string>(std::move(text));
+    asio::async_write(to.peer->socket, asio::buffer(*held), [held](error_code, std::size_t) {});
+  }
+};
+
+TEST_F(Upload, AMiddleSizedBodyIsKeptAndGoesOutAgainWhenItNeverRan) {
+  start();
+  const std::string body = pattern(300'000);
+  int turn = 0;
+  origin.answer = [&](const std::string&) {
+    return ++turn == 1 ? response(503, "", "X-Turned-Away: 1\r\n") : response(200, "done");
+  };
+  const auto one = client();
+  send(*one, head(length_of(body)) + body);
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 200);
+  ASSERT_EQ(origin.requests.size(), 2U);
+  EXPECT_TRUE(body_of(origin.requests[0]) == body);
+  EXPECT_TRUE(body_of(origin.requests[1]) == body);
+  EXPECT_TRUE(wait_for([&] { return *host->links().large == 0; }));
+  one->ask(request_text("PUT", "/pay/1", "pay", "x"));  // the connection is good for more
+  EXPECT_TRUE(wait_for([&] { return one->answers.size() == 2; }));
+}
+
+TEST_F(Upload, ALongBodyGoesOnAsItComesAndWhatWaitsIsBounded) {
+  start();
+  origin.answer = [](const std::string&) { return response(200, "done"); };
+  const std::string body = pattern(4 << 20);
+  const auto one = client();
+  const std::string text = head(length_of(body)) + body;
+  send(*one, text.substr(0, 3 << 20));
+  // The server has what came, and the request is not whole.
+  ASSERT_TRUE(
+      wait_for([&] { return origin.peers.size() == 1 && origin.peers[0]->got.size() > (3U << 20) - 4'096; }));
+  EXPECT_EQ(*host->links().large, 64U * 1024);
+  EXPECT_TRUE(origin.requests.empty());
+  send(*one, text.substr(3 << 20));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 200);
+  ASSERT_EQ(origin.requests.size(), 1U);
+  EXPECT_TRUE(body_of(origin.requests[0]) == body);
+  EXPECT_TRUE(wait_for([&] { return *host->links().large == 0; }));
+  one->ask(request_text("PUT", "/pay/1", "pay", "x"));
+  EXPECT_TRUE(wait_for([&] { return one->answers.size() == 2; }));
+  EXPECT_EQ(origin.peers.size(), 1U);  // and so is the server's
+}
+
+TEST_F(Upload, InChunksWithExtensionsAndTrailersItsBytesAreTheSame) {
+  start();
+  const std::string body = pattern(3 << 20);
+  const auto one = client();
+  std::string text = head("Transfer-Encoding: chunked");
+  for (std::size_t at = 0; at < body.size(); at += 100'000) {
+    const std::string part = body.substr(at, 100'000);
+    char size[32];
+    std::snprintf(size, sizeof size, "%zX;a=b\r\n", part.size());
+    text += size + part + "\r\n";
+  }
+  send(*one, text + "0\r\nX-Trailer: 1\r\n\r\n");
+  // The stand-in knows lengths only: it takes the head for one message and the chunks for the next.
+  ASSERT_TRUE(wait_for([&] { return origin.requests.size() == 2; }));
+  EXPECT_NE(origin.requests[0].find("Transfer-Encoding: chunked\r\n"), std::string::npos);
+  const std::string& raw = origin.requests[1];
+  std::string got;
+  for (std::size_t at = 0;;) {
+    const std::size_t line = raw.find("\r\n", at);
+    const std::size_t size = std::stoul(raw.substr(at, line - at), nullptr, 16);
+    if (size == 0) break;
+    got += raw.substr(line + 2, size);
+    at = line + 2 + size + 2;
+  }
+  EXPECT_TRUE(got == body);
+  origin.peers[0]->write(response(200, "done"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 200);
+}
+
+TEST_F(Upload, BrokenBeforeItsLastByteItNeverRanAndIsNotRepeatedByHalf) {
+  start();
+  for (const std::string lane : {"pay", "save"}) {
+    origin.peers.clear();
+    const std::string body = pattern(4 << 20);
+    const auto one = client();
+    const std::string text = head(length_of(body), lane, "Idempotency-Key: k\r\n") + body;
+    send(*one, text.substr(0, 2 << 20));
+    ASSERT_TRUE(
+        wait_for([&] { return origin.peers.size() == 1 && origin.peers[0]->got.size() > (1U << 20); }));
+    origin.peers[0]->close();
+    ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; })) << lane;
+    EXPECT_EQ(one->status(), 503) << lane;  // a repeat does no harm, and is the client's to make
+    quiet();
+    EXPECT_EQ(origin.peers.size(), 1U) << lane;
+  }
+}
+
+TEST_F(Upload, BrokenAfterItsLastByteAnUnsafeOneFails) {
+  start();
+  const std::string body = pattern(2 << 20);
+  const auto one = client();
+  send(*one, head(length_of(body)) + body);
+  ASSERT_TRUE(wait_for([&] { return origin.requests.size() == 1; }));
+  origin.peers[0]->close();
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 502);
+  quiet();
+  EXPECT_EQ(origin.requests.size(), 1U);
+}
+
+TEST_F(Upload, AClientThatLeavesFreesTheServerAndTheMemory) {
+  start();
+  auto one = client();
+  send(*one, head("Content-Length: 4000000") + pattern(2'000'000));
+  ASSERT_TRUE(wait_for([&] { return origin.peers.size() == 1 && origin.peers[0]->got.size() > 1'000'000; }));
+  one.reset();
+  ASSERT_TRUE(wait_for([&] { return origin.open() == 0 && *host->links().large == 0; }));
+  EXPECT_EQ(host->counts().withdrawn, 1U);
+  EXPECT_TRUE(origin.requests.empty());
+}
+
+TEST_F(Upload, AServerThatTakesNothingHoldsItsClientBack) {
+  start();
+  tcp::acceptor deaf(io, any_port());
+  const auto known = list_json(
+      1, true, {{"s-cache", cache.address()}, {"s-origin", text_of(deaf.local_endpoint()), "origin"}});
+  Loopback::start(known);
+  tcp::socket taken(io);
+  bool came = false;
+  deaf.async_accept(taken, [&](error_code error) { came = !error; });
+  const auto one = client();
+  const auto text = std::make_shared<std::string>(head("Content-Length: 33554432") + pattern(32 << 20));
+  std::size_t written = 0;
+  std::function<void()> more = [&, text] {
+    one->peer->socket.async_write_some(asio::buffer(*text) + written,
+                                       [&, text](error_code error, std::size_t took) {
+                                         written += took;
+                                         if (!error && written < text->size()) more();
+                                       });
+  };
+  more();
+  ASSERT_TRUE(wait_for([&] { return came; }));
+  for (std::size_t before = 1; before != written;) {
+    before = written;
+    quiet(200);
+  }
+  EXPECT_LT(written, text->size());
+  EXPECT_EQ(*host->links().large, 64U * 1024);
+}
+
+TEST_F(Upload, TooLongIsToldAndWhatIsSlowerThanAllowedIsEnded) {
+  start();
+  const auto one = client();
+  one->ask(head("Content-Length: 33554433"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 413);
+  const auto two = client();
+  send(*two, head("Content-Length: 3000000") + pattern(1'000));
+  ASSERT_TRUE(wait_for([&] { return two->answers.size() == 1; }));
+  EXPECT_EQ(two->status(), 408);
+  EXPECT_EQ(host->counts().served, 0U);
+}
+
+TEST_F(Upload, ASlowBodyOfTheRateThatClientsMayHaveIsServed) {
+  start();
+  origin.answer = [](const std::string&) { return response(200, "done"); };
+  const std::string body = pattern(220'000);
+  const auto one = client();
+  one->ask(head(length_of(body)));
+  for (std::size_t at = 0; at < body.size(); at += 16'000) {
+    one->ask(body.substr(at, 16'000));
+    quiet(240);
+  }
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 200);
+  EXPECT_TRUE(body_of(origin.requests.at(0)) == body);
+}
+
+TEST_F(Upload, ManyAtOnceStayWithinTheMemoryAndEachHasOneAnswer) {
+  start();
+  origin.answer = [](const std::string& message) { return response(200, std::to_string(message.size())); };
+  host->links().most_large = 2'000'000;
+  std::vector<std::unique_ptr<FakeClient>> all;
+  const std::string body = pattern(900'000);
+  for (int i = 0; i < 24; ++i) {
+    all.push_back(client());
+    send(*all.back(), head(length_of(body)) + body);
+  }
+  ASSERT_TRUE(wait_for([&] {
+    EXPECT_LE(*host->links().large, 2'000'000U);
+    return std::all_of(all.begin(), all.end(), [](const auto& one) { return one->answers.size() == 1; });
+  }));
+  for (const std::string& message : origin.requests) EXPECT_TRUE(body_of(message) == body);
+  std::size_t served = 0;
+  for (const auto& one : all) {
+    EXPECT_TRUE(one->status() == 200 || one->status() == 503) << one->status();
+    served += one->status() == 200 ? 1 : 0;
+  }
+  EXPECT_EQ(served, origin.requests.size());
+  EXPECT_GT(served, 0U);
+  EXPECT_TRUE(wait_for([&] { return *host->links().large == 0; }));
+}
+
+}  // namespace
+}  // namespace streampick::node::test
--- a/tests/overload/descriptors_test.cpp
+++ b/tests/overload/descriptors_test.cpp
@@ -46,5 +46,21 @@
   }
 }
 
+TEST(Descriptors, HalvedTheyTakeNoMoreUntilWhatIsOverIsGivenBack) {
+  Descriptors all(Descriptors::Limits{100, 30, 30});
+  for (int i = 0; i < 70; ++i) all.take(Descriptors::Side::clients);
+  EXPECT_EQ(all.over(), 0U);
+  all.halve(true);
+  EXPECT_EQ(all.total(), 50U);
+  EXPECT_EQ(all.over(), 20U);
+  EXPECT_FALSE(all.has_room(Descriptors::Side::clients));
+  for (int i = 0; i < 36; ++i) all.give(Descriptors::Side::clients);
+  EXPECT_EQ(all.over(), 0U);
+  EXPECT_TRUE(all.has_room(Descriptors::Side::clients));
+  all.halve(false);
+  EXPECT_EQ(all.total(), 100U);
+  EXPECT_EQ(all.floor(Descriptors::Side::servers), 30U);
+}
+
 }  // namespace
 }  // namespace streampick::overload::test
--- a/tests/takeover/shared_folder_test.cpp
+++ b/tests/takeover/shared_folder_test.cpp
@@ -8,6 +8,8 @@
 #include <fstream>
 #include <vector>
 
+#include "takeover/presence.h"
+
 namespace streampick::takeover::test {
 namespace {
 
@@ -62,6 +64,20 @@
   EXPECT_EQ(*open().news(), now);
 }
 
+TEST_F(Shared, EachKnowsWhetherAnotherRunsAsLongAsItRuns) {
+  const Presence first(folder_.string());
+  EXPECT_TRUE(first.alone());
+  {
+    const Presence second(folder_.string());
+    EXPECT_FALSE(first.alone());
+    EXPECT_FALSE(second.alone());
+    const Presence third(folder_.string());
+    EXPECT_FALSE(third.alone());
+  }
+  EXPECT_TRUE(first.alone());
+  EXPECT_TRUE(Presence("/nonexistent/folder").alone());
+}
+
 TEST_F(Shared, WhereTheFolderCanNotBeWrittenTheChangeHoldsHere) {
   SharedFolder one("/nonexistent/folder", [this](std::string_view text) { said_.emplace_back(text); });
   const auto now = one.change({}, [](control::Overrides& all) { all.leave_out("s-1", 1); });
--- /dev/null
+++ b/tests/takeover/upgrade_test.cpp
@@ -0,0 +1,209 @@
+// One process of a router replaced by the next while clients ask: at one door, under one operator's word.
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+#include "loopback.h"
+
+namespace streampick::node::test {
+namespace {
+
+using Environment = std::vector<std::pair<std::string, std::string>>;
+
+class Upgrade : public Loopback {
+ protected:
+  Upgrade()
+      : folder_(std::filesystem::path(::testing::TempDir()) /
+                ("streampick_upgrade_" + std::to_string(::getpid()))),
+        door_(io, any_port()) {
+    std::filesystem::create_directories(folder_);
+    const auto two = list_json(7, true,
+                               {{"s-cache", cache.address()},
+                                {"s-second", second.address()},
+                                {"s-origin", origin.address(), "origin"}});
+    list_ = two.dump() + "\n";
+    auto config = config_json(text_of(discovery.local_endpoint()), list_json(1, true, {}));
+    config["listen"] = text_of(door_.local_endpoint());
+    std::ofstream(folder_ / "config.json") << config.dump();
+    cache.answer = second.answer = [](const std::string&) { return response(200, "x"); };
+    answer_watches();
+  }
+  ~Upgrade() override {
+    for (const pid_t child : children_) {
+      ::kill(child, SIGKILL);
+      ::waitpid(child, nullptr, 0);
+    }
+    std::filesystem::remove_all(folder_);
+  }
+  // Every watch is told the whole list, once `tells_` says so.
+  void answer_watches() {
+    discovery.async_accept([this](error_code error, tcp::socket socket) {
+      if (error) return;
+      watches_.push_back(std::make_shared<Peer>(std::move(socket)));
+      watches_.back()->read([this](Peer& peer) {
+        if (tells_ && !peer.got.empty()) tell(peer);
+      });
+      answer_watches();
+    });
+  }
+  void tell(Peer& peer) {
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", list_.size());
+    peer.write(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") + size.data() + list_ +
+               "\r\n");
+    peer.muted = true;
+  }
+  // The program with the door as descriptor 4. Returns the child.
+  pid_t run(const tcp::endpoint& management, const Environment& more = {}) {
+    const pid_t child = ::fork();
+    if (child == 0) {
+      ::dup2(door_.native_handle(), 4);  // not closed at exec
+      ::setenv("NODE_CONFIG", (folder_ / "config.json").c_str(), 1);
+      ::setenv("NODE_PASSED_SOCKET", "4", 1);
+      ::setenv("NODE_MANAGEMENT", text_of(management).c_str(), 1);
+      ::setenv("TMPDIR", folder_.c_str(), 1);
+      for (const auto& [name, value] : more) ::setenv(name.c_str(), value.c_str(), 1);
+      ::execl(STREAMPICK_ROUTER, STREAMPICK_ROUTER, nullptr);
+      ::_exit(127);
+    }
+    children_.push_back(child);
+    return child;
+  }
+  int exit_code(pid_t child) {
+    int status = 0;
+    if (!wait_for([&] { return ::waitpid(child, &status, WNOHANG) == child; })) return -1;
+    std::erase(children_, child);
+    return WIFEXITED(status) ? WEXITSTATUS(status) : 1000 + WTERMSIG(status);
+  }
+  static tcp::endpoint free_port(asio::io_context& io) {
+    return tcp::acceptor(io, any_port()).local_endpoint();
+  }
+  // Empty: nobody answers there.
+  std::string call(const tcp::endpoint& at, const std::string& line) {
+    tcp::socket socket(io);
+    error_code error;
+    socket.connect(at, error);
+    if (error) return {};
+    const auto peer = std::make_shared<Peer>(std::move(socket));
+    peer->read([](Peer&) {});
+    peer->write(line + "\n");
+    EXPECT_TRUE(wait_for([&] { return peer->ended; }));
+    return peer->got;
+  }
+  [[nodiscard]] bool says_yes(const tcp::endpoint& at) {
+    return wait_for([&] { return call(at, "HEALTH").rfind("ACK", 0) == 0; });
+  }
+  // On a connection of its own.
+  int ask(int key) {
+    FakeClient one(io, door_.local_endpoint());
+    one.ask(request_text("GET", "/read/" + std::to_string(key), "read"));
+    EXPECT_TRUE(wait_for([&] { return !one.answers.empty() || one.peer->ended; }));
+    return one.answers.empty() ? 0 : one.status();
+  }
+
+  FakeServer second{io};
+  std::filesystem::path folder_;
+  tcp::acceptor door_;
+  std::string list_;
+  std::vector<std::shared_ptr<Peer>> watches_;
+  std::vector<pid_t> children_;
+  bool tells_ = true;
+};
+
+TEST_F(Upgrade, NoRequestEndsAtTheDoorAndABanHoldsInBothAndInTheNext) {
+  const tcp::endpoint first = free_port(io), next = free_port(io);
+  const pid_t old = run(first);
+  ASSERT_TRUE(says_yes(first));
+  EXPECT_EQ(call(first, "OFFLINE s-cache").rfind("ACK", 0), 0U);
+  FakeClient kept(io, door_.local_endpoint());
+  kept.ask(request_text("GET", "/read/1", "read"));
+  ASSERT_TRUE(wait_for([&] { return kept.answers.size() == 1; }));
+  const pid_t fresh = run(next);
+  ASSERT_TRUE(says_yes(next));
+  for (int key = 0; key < 20; ++key) ASSERT_EQ(ask(key), 200);
+  ASSERT_EQ(::kill(old, SIGTERM), 0);
+  // Connections that it has may ask once more; nobody new waits in its hands.
+  kept.ask(request_text("GET", "/read/2", "read"));
+  for (int key = 0; key < 40; ++key) ASSERT_EQ(ask(key), 200);
+  ASSERT_TRUE(wait_for([&] { return kept.answers.size() == 2; }));
+  EXPECT_EQ(kept.status(1), 200);
+  EXPECT_NE(kept.answers[1].find("Connection: close"), std::string::npos);
+  EXPECT_EQ(exit_code(old), 0);
+  EXPECT_TRUE(cache.requests.empty());
+  EXPECT_EQ(call(next, "ONLINE s-cache").rfind("ACK", 0), 0U);
+  for (int key = 0; key < 40; ++key) ASSERT_EQ(ask(key), 200);
+  EXPECT_FALSE(cache.requests.empty());
+  ASSERT_EQ(::kill(fresh, SIGTERM), 0);
+  EXPECT_EQ(exit_code(fresh), 0);
+}
+
+TEST_F(Upgrade, WhatOneIsToldTheOtherHoldsTo) {
+  const tcp::endpoint first = free_port(io), next = free_port(io);
+  run(first);
+  ASSERT_TRUE(says_yes(first));
+  run(next);
+  ASSERT_TRUE(says_yes(next));
+  EXPECT_EQ(call(next, "OFFLINE s-cache").rfind("ACK", 0), 0U);
+  EXPECT_EQ(call(next, "LEAVE").rfind("ACK", 0), 0U);
+  const auto down = [&](const tcp::endpoint& at) {
+    return call(at, "DUMP").find("\"hosts_down\":1") != std::string::npos;
+  };
+  EXPECT_TRUE(wait_for([&] { return down(first) && down(next); }));
+  // Whichever takes the connection says no.
+  const auto up = [&] {
+    FakeClient one(io, door_.local_endpoint());
+    one.ask("GET /up HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(wait_for([&] { return !one.answers.empty(); }));
+    return one.answers.empty() ? 0 : one.status();
+  };
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(up(), 503);
+  EXPECT_EQ(call(first, "JOIN").rfind("ACK", 0), 0U);
+  EXPECT_EQ(call(first, "ONLINE s-cache").rfind("ACK", 0), 0U);
+  EXPECT_TRUE(
+      wait_for([&] { return !down(first) && !down(next) && up() == 200 && up() == 200 && up() == 200; }));
+}
+
+TEST_F(Upgrade, TheNextSaysYesAndAcceptsOnlyOnceItsListIsIn) {
+  tells_ = false;
+  const tcp::endpoint at = free_port(io);
+  run(at);
+  ASSERT_TRUE(wait_for([&] { return watches_.size() == 1 && !watches_[0]->got.empty(); }));
+  EXPECT_EQ(call(at, "HEALTH").rfind("NAK", 0), 0U);
+  FakeClient waits(io, door_.local_endpoint());
+  waits.ask(request_text("GET", "/read/1", "read"));
+  quiet(300);
+  EXPECT_TRUE(waits.answers.empty() && !waits.peer->ended);
+  tell(*watches_[0]);
+  ASSERT_TRUE(wait_for([&] { return waits.answers.size() == 1; }));
+  EXPECT_EQ(waits.status(), 200);
+  EXPECT_TRUE(says_yes(at));
+}
+
+TEST_F(Upgrade, KilledOutrightItsWordHoldsAndOneThatCanNotStartLeavesTheOldServing) {
+  const tcp::endpoint first = free_port(io), next = free_port(io), third = free_port(io);
+  const pid_t old = run(first);
+  ASSERT_TRUE(says_yes(first));
+  EXPECT_EQ(call(first, "OFFLINE s-cache").rfind("ACK", 0), 0U);
+  EXPECT_EQ(exit_code(run(next, {{"NODE_PASSED_SOCKET", "0"}})), 2);
+  EXPECT_EQ(exit_code(run(next, {{"NODE_PASSED_SOCKET", "999"}})), 2);
+  EXPECT_EQ(exit_code(run(next, {{"NODE_MANAGEMENT", "nowhere"}})), 2);
+  EXPECT_EQ(exit_code(run(first)), 1);  // its second address is taken
+  EXPECT_EQ(ask(1), 200);
+  run(next);
+  ASSERT_TRUE(says_yes(next));
+  ASSERT_EQ(::kill(old, SIGKILL), 0);
+  EXPECT_EQ(exit_code(old), 1000 + SIGKILL);
+  for (int key = 0; key < 20; ++key) ASSERT_EQ(ask(key), 200);
+  EXPECT_TRUE(cache.requests.empty());
+  // And once more.
+  run(third);
+  ASSERT_TRUE(says_yes(third));
+  EXPECT_NE(call(third, "DUMP").find("\"hosts_down\":1"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace streampick::node::test
