--- a/src/http1/transport.cpp
+++ b/src/http1/transport.cpp
@@ -234,10 +234,10 @@
   void read(const error_code& error, std::size_t got) {
     if (!job_ && !stream_) return owner_->drop(shared_from_this());  // closed, or what nobody asked for
     if (error) {
-      // The head of an answer without a body says it all; a 200 that only the connection's end would mark
-      // as whole may as well be cut short.
+      // The head of an answer without a body says it all; a 200 with no length ends with its connection, if
+      // that is ended in order: a server that dies resets it.
       const bool told = error == asio::error::eof && !writing_ && parser_->is_header_done() &&
-                        head_.status != 200 && head_.status >= 200;
+                        head_.status >= 200 && (head_.status != 200 || parser_->need_eof());
       return told ? answered(false) : broke();
     }
     // An answer to a request that is not out yet is not an answer to it.
@@ -267,6 +267,9 @@
       if (parser_->is_header_done() && !std::exchange(header_seen_, true)) {
         if (!head_.framing.plain(head_.version)) return spoilt("length in doubt");
         const std::uint64_t length = parser_->content_length().value_or(0);
+        // Without a length nobody knows how long it is: it is waited for no longer than a long one.
+        if (!parser_->content_length() && head_.status == 200 && !drained_)
+          pass_on_after(owner_->links_.whole_wait);
         if (length > kLongestBody && !drained_) {
           auto lease = length <= owner_->links_.parts_from && length <= kLongestAnswer
                            ? owner_->links_.lease(static_cast<std::size_t>(length))
--- a/tests/http1/parts_test.cpp
+++ b/tests/http1/parts_test.cpp
@@ -106,6 +106,26 @@
   EXPECT_EQ(*host->links().large, 0U);
 }
 
+TEST_F(Parts, ALongAnswerThatEndsWithItsConnectionIsWholeIfThatEndsInOrder) {
+  start();
+  const std::string body = pattern(200'000);
+  for (const bool reset : {false, true}) {
+    const auto one = client();
+    one->ask(a_last_read());
+    ASSERT_TRUE(wait_for([&] { return cache.requests.size() == (reset ? 2U : 1U); }));
+    Peer& peer = *cache.peers.back();
+    peer.write("HTTP/1.1 200 X\r\n\r\n" + body);
+    ASSERT_TRUE(wait_for([&] { return one->peer->got.size() > body.size(); }));
+    if (reset) peer.socket.set_option(asio::socket_base::linger(true, 0));
+    peer.close();
+    ASSERT_TRUE(wait_for([&] { return one->peer->ended; }));
+    const bool last_chunk =
+        one->peer->got.find("\r\n0\r\n\r\n") != std::string::npos || one->answers.size() > 1;
+    EXPECT_EQ(last_chunk, !reset);
+  }
+  EXPECT_EQ(streams().cut, 1U);
+}
+
 TEST_F(Parts, ASlowReaderHoldsTheServerBackAndWhatWaitsIsBounded) {
   begin();
   const std::string body = pattern(48 << 20);
