--- a/tests/management/operators_test.cpp
+++ b/tests/management/operators_test.cpp
@@ -89,9 +89,9 @@
     silent.push_back(std::make_unique<Caller>(io, *host->operators().address()));
     if (i % 2 == 0) silent.back()->peer->write("HEAL");
   }
-  const auto began = std::chrono::steady_clock::now();
   for (int i = 0; i < 5; ++i) EXPECT_EQ(call("HEALTH"), "ACK serving\n");
-  EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::seconds(10));
+  // Not because the others' time was up: some are still there.
+  EXPECT_FALSE(std::all_of(silent.begin(), silent.end(), [](const auto& one) { return one->peer->ended; }));
   EXPECT_EQ(figures()["inflight"], 0);
   // Each has its time.
   EXPECT_TRUE(wait_for([&] {
--- a/tests/platform/reload_test.cpp
+++ b/tests/platform/reload_test.cpp
@@ -145,6 +145,9 @@
   std::vector<std::string> said;
   {
     LogSink sink([&](std::string_view text) { said.emplace_back(text); });
+    // So many lines a second at most are logged: those of other tests are not to count.
+    quiet(1'100);
+    log("a new second");
     for (const std::string& text : bad) {
       said.clear();
       EXPECT_FALSE(reload(text)) << text;
--- a/tests/takeover/upgrade_test.cpp
+++ b/tests/takeover/upgrade_test.cpp
@@ -174,7 +174,7 @@
   ASSERT_TRUE(wait_for([&] { return watches_.size() == 1 && !watches_[0]->got.empty(); }));
   EXPECT_EQ(call(at, "HEALTH").rfind("NAK", 0), 0U);
   FakeClient waits(io, door_.local_endpoint());
-  waits.ask(request_text("GET", "/read/1", "read"));
+  waits.ask("GET /up HTTP/1.1\r\n\r\n");
   quiet(300);
   EXPECT_TRUE(waits.answers.empty() && !waits.peer->ended);
   tell(*watches_[0]);
