Review: late fronts hear a drain, RESP counts refusals, an answered upload ends both ways

A RESP front that comes after a drain was taken over from the process before was never told; requests that it turned away unread stood in no figure; an upload whose request was answered early left the server's side waiting for bytes until its deadline (600 s). One way to make a Host instead of two, one pattern of bytes for the tests instead of two, no two names for a longest upload. The tests of engine, node, management and RESP pass under the sanitizers.

--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -23,25 +23,23 @@
 }
 #endif
 
-Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings)
+Host::Host(Bare, boost::asio::io_context& io, Clock& clock, const NodeSettings& settings)
     : io_(io),
       clock_(clock),
       accepted_(settings),
       names_(settings.settings.names),
       ready_timer_(io),
-      summary_timer_(io) {
+      summary_timer_(io) {}
+
+Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings)
+    : Host(Bare{}, io, clock, settings) {
   transports_ = std::make_unique<ServerTransports>(io_, clock_, links_, settings);
   begin(settings);
 }
 
 #ifdef STREAMPICK_WITH_OPTIONS
 Host::Host(boost::asio::io_context& io, Clock& clock, const NodeSettings& settings, const Options& options)
-    : io_(io),
-      clock_(clock),
-      accepted_(settings),
-      names_(settings.settings.names),
-      ready_timer_(io),
-      summary_timer_(io) {
+    : Host(Bare{}, io, clock, settings) {
   NodeSettings own = settings;
   options_ = options;
   transports_ = std::make_unique<ServerTransports>(io_, clock_, links_, own, options);
--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -58,7 +58,9 @@
   std::string summary() const;
 
  private:
-  // Hears the platform's lists first: the first whole one makes the router ready.
+  struct Bare {};
+  Host(Bare, boost::asio::io_context& io, Clock& clock, const NodeSettings& settings);
+  // Hears the platform's lists first: the first of them makes the router ready.
   struct Lists final : ListReader {
     explicit Lists(Host& owner) : host(owner) {}
     void list_came(const MemberList& list) override;
@@ -66,11 +68,11 @@
     Host& host;
     ListReader* to = nullptr;
   };
-  // `two_sources`: the platform's lists are one of two.
   bool reload(const std::function<NodeSettings()>& load);
   void take(const NodeSettings& next);
   void share(bool alone);
   std::vector<bool> spared() const;
+  // `two_sources`: the platform's lists are one of two.
   void begin(const NodeSettings& settings, bool two_sources = false);
   void ready();
   void every_ten_seconds();
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -14,7 +14,7 @@
 constexpr Time kAcceptAfterTerm = 500 * kMs, kAnswerAfterTerm = 3'200 * kMs, kLastWrites = 200 * kMs;
 constexpr Time kRememberTxn = 2 * kSecond;
 // A long body may take so long to come; its front ends one that comes too slowly.
-constexpr Time kLongestUpload = 600 * kSecond;
+constexpr Time kUploadTakes = 600 * kSecond;
 constexpr int kMadeUp = 600;  // of the module's wake-ups after a rest: two minutes of its ticks
 constexpr std::size_t kMostEndedTxns = 4096, kLeastSweep = 1024;
 
@@ -79,6 +79,11 @@
   settle();
 }
 
+void Engine::add(Front& front) {
+  fronts_.push_back(&front);
+  if (clients_away_) front.drain();
+}
+
 void Engine::start(Roster& roster, const MemberList& known) {
   roster_ = &roster;
   apply(Update::stale, known);
@@ -165,7 +170,7 @@
   classes_.opened(open.request_class);
   open.ticket = figures_.begin(ends_.at(incoming.request_class));
   // A router told to stop is killed in the end: what it still takes must be answered before that.
-  const Time upload = open.message->upload ? kLongestUpload : 0;
+  const Time upload = open.message->upload ? kUploadTakes : 0;
   open.patience = incoming.remaining;
   set_time(open, std::min(now + upload + incoming.remaining, drain_end_), incoming.remaining);
   expire_at({open.guard, id, kNone});
@@ -244,8 +249,9 @@
                        : reply.kind == Reply::Kind::refused ? Figures::End::busy
                                                             : Figures::End::failure);
   const std::uint64_t tag = open.tag;
-  end_upload(open);
   if (asker) asker->reply(tag, std::move(reply));
+  // Behind the reply: who asked cuts the body short first, so that the server's side ends too.
+  end_upload(open);
   ended_.push_back({{request, kNone}, Outcome::not_sent});  // to be looked at once the module is done
 }
 
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -55,7 +55,7 @@
   // Takes the list known before the start, and from here on asks `roster` for news.
   void start(Roster& roster, const MemberList& known);
   // Fronts outlive the engine's last event.
-  void add(Front& front) { fronts_.push_back(&front); }
+  void add(Front& front);
   // Goes on accepting for a little, finishes what was taken, then calls `done`.
   void drain(std::function<void()> done);
   // The time left a stretch of `length` us out: clients' deadlines, which are real, are that much nearer, and
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -195,6 +195,7 @@
     if (owner_->admission_ != nullptr &&
         owner_->admission_->refuses(kind, patience, owner_->last_id_ + ask.tag)) {
       ++owner_->counts_.shed;
+      owner_->requests_.turned_away(kind);
       const Time after = owner_->admission_->retry_after(owner_->last_id_ + ask.tag);
       return conversation_.answered(ask.tag, {.kind = node::Reply::Kind::refused, .retry_after = after});
     }
--- a/tests/http1/parts_test.cpp
+++ b/tests/http1/parts_test.cpp
@@ -4,12 +4,6 @@
 namespace streampick::node::test {
 namespace {
 
-std::string pattern(std::size_t size) {
-  std::string out(size, '\0');
-  for (std::size_t i = 0; i < size; ++i) out[i] = static_cast<char>((i * 2654435761U) >> 13U);
-  return out;
-}
-
 class Parts : public Loopback {
  protected:
   void begin(std::size_t whole = 64 * 1024, std::uint64_t longest = 64 << 20) {
--- a/tests/http1/upload_test.cpp
+++ b/tests/http1/upload_test.cpp
@@ -5,12 +5,6 @@
 namespace streampick::node::test {
 namespace {
 
-std::string pattern(std::size_t size) {
-  std::string out(size, '\0');
-  for (std::size_t i = 0; i < size; ++i) out[i] = static_cast<char>((i * 2654435761U) >> 13U);
-  return out;
-}
-
 class Upload : public Loopback {
  protected:
   std::string head(const std::string& length, const std::string& lane = "pay", const std::string& more = "") {
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -25,6 +25,13 @@
   return address.address().to_string() + ":" + std::to_string(address.port());
 }
 
+// Bytes of which no two stretches are alike.
+inline std::string pattern(std::size_t size) {
+  std::string out(size, '\0');
+  for (std::size_t i = 0; i < size; ++i) out[i] = static_cast<char>((i * 2654435761U) >> 13U);
+  return out;
+}
+
 // An accepted connection: what came in on it, and whether the other side has ended it.
 struct Peer : std::enable_shared_from_this<Peer> {
   explicit Peer(tcp::socket from) : socket(std::move(from)) {}
