--- a/src/daemon/operators.h
+++ b/src/daemon/operators.h
@@ -28,6 +28,7 @@
   // Throws boost::system::system_error when the address can't be listened on.
   void listen(const boost::asio::ip::tcp::endpoint& address);
   std::optional<boost::asio::ip::tcp::endpoint> address() const;
+  const management::OperatorsFront* front() const { return front_.get(); }
 
   void ready() { ready_ = true; }
   void reconfigured(bool ok) { ++(ok ? reconfig_ok_ : reconfig_failed_); }
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -540,6 +540,7 @@
     if (member.phase == Phase::ready) {
       server.transport->send_nothing_from(kNever);
     } else {
+      if (server.told.phase == Phase::ready) keep_off(id);
       depart(id, member.phase == Phase::gone);
       if (member.phase == Phase::gone) gone.push_back(id);
     }
@@ -583,6 +584,13 @@
   return out;
 }
 
+// From now on, and not only after the grace: what waits for its connection goes elsewhere.
+void Engine::keep_off(ServerId server) {
+  Transport& transport = *servers_[server].transport;
+  if (transport.nothing_from() > time_.now()) transport.send_nothing_from(time_.now());
+  transport.close_idle(kNever);
+}
+
 void Engine::leave_out(const std::string& name, bool out, Time started) {
   catch_up();
   if (out || started > 0) {
@@ -596,9 +604,7 @@
   Server& server = servers_[id];
   const Member member = as_ruled(id);
   if (out) {
-    // From the yes on, and not only after the grace: what waits for its connection goes elsewhere.
-    if (server.transport->nothing_from() > time_.now()) server.transport->send_nothing_from(time_.now());
-    server.transport->close_idle(kNever);
+    keep_off(id);
   } else if (member.phase == Phase::ready) {
     server.transport->send_nothing_from(kNever);
   }
@@ -647,6 +653,7 @@
     if (!attempt.missed) continue;
     const Server& server = servers_[attempt.server];
     if (!server.listed || !server.transport || !server.transport->wants_values()) continue;
+    if (server.transport->nothing_from() <= time_.now()) continue;
     ++counts_.stored_back;
     server.transport->keep(message.key, answer.body);
   }
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -155,6 +155,7 @@
   ServerId intern(const Listed& listed);
   void apply(Update update, const MemberList& list);
   Member as_ruled(ServerId server) const;
+  void keep_off(ServerId server);
   void depart(ServerId server, bool gone);
   void answer(RequestId request, Reply reply);
   void store_back(const Open& open, const Answer& answer);
--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -317,5 +317,129 @@
   EXPECT_EQ(fleet.nothing_from("c-2"), time.now() + kSecond);  // news again: half the grace
 }
 
+// ---- Operators
+
+TEST_F(EngineTest, LeftOutByHandNothingMayBeginFromTheSameMomentWhateverTheListSays) {
+  time.advance(kSecond);
+  engine->leave_out("c-1", true, 0);
+  EXPECT_EQ(fleet.nothing_from("c-1"), time.now());
+  EXPECT_EQ(fleet.nothing_from("c-2"), kNever);
+  const Time said = time.now();
+  time.advance(kSecond);
+  engine->list_came(list(2, true, {{"c-1", Phase::ready}, {"c-2", Phase::ready}}, true));
+  EXPECT_EQ(fleet.nothing_from("c-1"), said);
+  // It leaves the list and comes back, as another transport.
+  engine->list_came(list(3, true, {{"c-2", Phase::ready}}, true));
+  EXPECT_TRUE(fleet.gone.contains("c-1"));
+  EXPECT_FALSE(engine->knows("c-1"));
+  time.advance(kSecond);
+  engine->list_came(list(4, true, {{"c-1", Phase::ready}, {"c-2", Phase::ready}}, true));
+  EXPECT_EQ(fleet.nothing_from("c-1"), time.now());
+  EXPECT_EQ(engine->hosts().listed, 2U);
+  EXPECT_EQ(engine->hosts().down, 1U);
+  for (std::uint64_t key = 0; key < 50; ++key) ask(kRead, 0, 8 * kSecond, key);
+  time.advance(1'500 * kMs);  // copies too
+  EXPECT_FALSE(fleet.sent.empty());
+  for (const Sent& sent : fleet.sent) EXPECT_NE(sent.server, "c-1");
+  engine->leave_out("c-1", false, time.now());
+  EXPECT_EQ(fleet.nothing_from("c-1"), kNever);
+}
+
+TEST_F(EngineTest, CalledBackWhileTheListSaysThatItDrainsItGetsNothing) {
+  engine->leave_out("c-1", true, 0);
+  engine->list_came(list(2, false, {{"c-1", Phase::draining}}));
+  engine->leave_out("c-1", false, time.now());
+  EXPECT_LE(fleet.nothing_from("c-1"), time.now());
+  for (std::uint64_t key = 0; key < 50; ++key) ask(kRead, 0, 8 * kSecond, key);
+  for (const Sent& sent : fleet.sent) EXPECT_NE(sent.server, "c-1");
+}
+
+TEST_F(EngineTest, WhatItMissedIsNotKeptAtAServerThatIsOut) {
+  fleet.wants_values = true;
+  build();
+  ask(kRead);
+  const std::string first = fleet.sent.at(0).server;
+  end(0, Outcome::miss);
+  engine->leave_out(first, true, 0);
+  end(1, Outcome::served, "tile");
+  EXPECT_EQ(replies(), 1U);
+  for (const auto& [server, value] : fleet.kept) EXPECT_NE(server, first);
+}
+
+TEST_F(EngineTest, AFrontThatComesWhileClientsAreSentAwayHearsItAndAllHearTheEnd) {
+  engine->send_clients_away(true);
+  engine->send_clients_away(true);
+  EXPECT_EQ(front.drains, 1);
+  IdleFront late;
+  engine->add(late);
+  EXPECT_EQ(late.drains, 1);
+  engine->send_clients_away(false);
+  EXPECT_EQ(front.ends + late.ends, 2);
+}
+
+TEST_F(EngineTest, TheFiguresCountEachEndOnceAndWhatLeftNowhere) {
+  const RequestId left = ask(kRead, 0, 8 * kSecond, 1);
+  ask(kRead, 0, 8 * kSecond, 2);
+  EXPECT_EQ(engine->figures().in_flight(), 2U);
+  engine->withdrawn(left);
+  EXPECT_EQ(engine->figures().in_flight(), 1U);
+  end(1, Outcome::served);
+  EXPECT_EQ(engine->figures().in_flight(), 1U);  // until the answer is out
+  asker->replies.clear();
+  EXPECT_EQ(engine->figures().in_flight(), 0U);
+  engine->turned_away(kRead);
+  const auto& ends = engine->figures().classes().begin()->second;
+  EXPECT_EQ(ends.success, 1U);
+  EXPECT_EQ(ends.busy, 1U);
+  EXPECT_EQ(ends.failure, 0U);
+}
+
+// Its time runs from the last byte of the body, and not from the first.
+TEST_F(EngineTest, ALongBodysTimeRunsFromItsLastByte) {
+  Incoming incoming;
+  incoming.message = std::make_shared<Message>();
+  incoming.message->operation = Operation::write;
+  const auto upload = std::make_shared<BodyStream>(std::nullopt, 1024);
+  std::const_pointer_cast<Message>(incoming.message)->upload = upload;
+  incoming.request_class = kPay;
+  incoming.txn = ++txn;
+  incoming.remaining = kSecond;
+  const RequestId id = engine->asked(asker, std::move(incoming));
+  time.advance(5 * kSecond);
+  EXPECT_EQ(replies(), 0U);
+  upload->end(BodyStream::State::whole);
+  engine->body_came(id);
+  time.advance(900 * kMs);
+  EXPECT_EQ(replies(), 0U);
+  time.advance(200 * kMs);
+  ASSERT_EQ(replies(), 1U);
+  EXPECT_NE(reply().kind, Reply::Kind::served);
+}
+
+TEST_F(EngineTest, OfABodyThatIsSpentNothingIsSentAgain) {
+  for (const Class kind : {kSave, kPay}) {
+    fleet.sent.clear();
+    Incoming incoming;
+    incoming.message = std::make_shared<Message>();
+    incoming.message->operation = Operation::write;
+    const auto upload = std::make_shared<BodyStream>(std::nullopt, 1024);
+    std::const_pointer_cast<Message>(incoming.message)->upload = upload;
+    incoming.request_class = kind;
+    incoming.txn = ++txn;
+    incoming.remaining = 8 * kSecond;
+    engine->asked(asker, std::move(incoming));
+    ASSERT_EQ(fleet.sent.size(), 1U);
+    upload->put("half");
+    std::string taken;
+    upload->take(taken);
+    const std::size_t before = replies();
+    end(0, Outcome::connect_failed);
+    EXPECT_EQ(replies(), before + 1);  // at once
+    time.advance(2 * kSecond);
+    EXPECT_EQ(fleet.sent.size(), 1U);
+    EXPECT_EQ(asker->replies.back().second.kind, Reply::Kind::refused);
+  }
+}
+
 }  // namespace
 }  // namespace streampick::node::test
--- a/tests/engine/hand_driven.h
+++ b/tests/engine/hand_driven.h
@@ -127,6 +127,8 @@
   std::size_t unanswered() const override { return waiting; }
   std::size_t open() const override { return 0; }
   int drains = 0;
+  void end_drain() override { ++ends; }
+  int ends = 0;
   bool stopped = false;
   std::size_t waiting = 0;
 };
--- a/tests/http1/upload_test.cpp
+++ b/tests/http1/upload_test.cpp
@@ -219,5 +219,50 @@
   EXPECT_TRUE(wait_for([&] { return *host->links().large == 0; }));
 }
 
+// Its request ends while its body still comes: the server's side is not left waiting for the rest.
+TEST_F(Upload, AnsweredBeforeItsBodyIsThereItLeavesTheServerToo) {
+  start();
+  const auto one = client();
+  send(*one, head("Content-Length: 4000000") + pattern(2'000'000));
+  ASSERT_TRUE(wait_for([&] { return origin.peers.size() == 1 && origin.peers[0]->got.size() > 1'000'000; }));
+  // More of it, so that it is not the rate that ends it.
+  bool done = false;
+  host->drain([&] { done = true; });
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_NE(one->status(), 200);
+  EXPECT_TRUE(wait_for([&] { return origin.open() == 0; }));
+  EXPECT_TRUE(origin.requests.empty());
+}
+
+TEST_F(Upload, OneByteAtATimeItIsTheSame) {
+  start();
+  origin.answer = [](const std::string&) { return response(200, "done"); };
+  const std::string body = pattern(60);
+  const std::string text = request_text("PUT", "/pay/1", "pay", body);
+  const auto one = client();
+  one->ask(text.substr(0, text.size() - 100));
+  for (const char byte : text.substr(text.size() - 100)) {
+    one->ask(std::string(1, byte));
+    quiet(1);
+  }
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 200);
+  EXPECT_TRUE(body_of(origin.requests.at(0)) == body);
+}
+
+TEST_F(Upload, ItIsToldToGoOnWhereItAsks) {
+  start();
+  origin.answer = [](const std::string&) { return response(200, "done"); };
+  const std::string body = pattern(2 << 20);
+  const auto one = client();
+  one->ask(head(length_of(body), "pay", "Expect: 100-continue\r\n"));
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() + one->peer->got.size() > 0; }));
+  send(*one, body);
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 2; }));
+  EXPECT_EQ(one->status(0), 100);
+  EXPECT_EQ(one->status(1), 200);
+  EXPECT_TRUE(body_of(origin.requests.at(0)) == body);
+}
+
 }  // namespace
 }  // namespace streampick::node::test
--- a/tests/management/operators_test.cpp
+++ b/tests/management/operators_test.cpp
@@ -1,4 +1,7 @@
 // Operators at work on a running router: calls, figures, cache servers out by hand, drains.
+#include <map>
+#include <thread>
+
 #include "loopback.h"
 
 namespace streampick::node::test {
@@ -213,26 +216,6 @@
   EXPECT_LT(cache.requests.size() - warm, warm / 2);
 }
 
-// Nothing begins from the yes on: what waited for its connection goes elsewhere.
-TEST_F(Managed, WhatWaitsForAConnectionToItDoesNotGoOut) {
-  second.answer = [](const std::string&) { return response(200, "x"); };
-  // Nobody takes connections there, and the kernel lets a few wait.
-  tcp::acceptor deaf(io, any_port());
-  begin({{"s-deaf", text_of(deaf.local_endpoint())},
-         {"s-second", second.address()},
-         {"s-origin", origin.address(), "origin"}});
-  const auto one = client();
-  for (int key = 0; key < 20; ++key) {
-    one->ask(read_of(key));
-    // Sent to the one or the other in the same turn; the call comes before the dial is through.
-    call("OFFLINE s-deaf");
-    ASSERT_TRUE(wait_for([&] { return one->answers.size() == static_cast<std::size_t>(key) + 1; }));
-    EXPECT_EQ(one->status(static_cast<std::size_t>(key)), 200);
-    call("ONLINE s-deaf");
-    if (key > 3) break;
-  }
-}
-
 TEST_F(Managed, ADrainSaysNoEndsConnectionsAndServesAndJoinEndsIt) {
   cache.answer = second.answer = [](const std::string&) { return response(200, "x"); };
   begin();
@@ -274,5 +257,105 @@
   EXPECT_TRUE(wait_for([&] { return done; }));
 }
 
+TEST_F(Managed, WhoDoesNotTakeItsAnswerAwayIsDropped) {
+  begin();
+  std::vector<std::unique_ptr<tcp::socket>> deaf;
+  for (int i = 0; i < 5; ++i) {
+    deaf.push_back(std::make_unique<tcp::socket>(io));
+    deaf.back()->connect(*host->operators().address());
+    asio::write(*deaf.back(), asio::buffer(std::string("DUMP\n")));
+  }
+  ASSERT_TRUE(wait_for([&] { return host->operators().front()->counts().answered == 5; }));
+  EXPECT_TRUE(wait_for([&] { return host->operators().front()->open() == 0; }));
+}
+
+// Refused before the engine sees them, they are refused all the same.
+TEST_F(Managed, WhatIsTurnedAwayUnreadStandsUnderBusy) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  settings = parse_settings(
+      config_json(
+          text_of(discovery.local_endpoint()),
+          list_json(1, true, {{"s-cache", cache.address()}, {"s-origin", origin.address(), "origin"}}))
+          .dump());
+  settings.management.emplace() = any_port();
+  settings.overload.late = 2'000;
+  host = std::make_unique<Host>(io, clock, settings);
+  bool busy = true;
+  std::function<void()> block = [&] {
+    if (!busy) return;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    asio::post(io, block);
+  };
+  block();
+  std::size_t served = 0, refused = 0;
+  const auto one = client();
+  for (std::size_t asked = 0; refused < 3 && asked < 400; ++asked) {
+    one->ask(a_read());
+    ASSERT_TRUE(wait_for([&] { return one->answers.size() == asked + 1; }));
+    ++(one->status(asked) == 200 ? served : refused);
+  }
+  // The loop is as far behind for operators: they are answered.
+  EXPECT_EQ(call("HEALTH"), "ACK serving\n");
+  busy = false;
+  ASSERT_EQ(refused, 3U);
+  EXPECT_EQ(host->admission().refused(), 3U);
+  const json told = figures();
+  EXPECT_EQ(told["success"]["read"], served);
+  EXPECT_EQ(told["busy"]["read"], 3);
+  EXPECT_EQ(told["backend_calls"], cache.requests.size());
+}
+
+// Many clients at once, of which some leave, over servers that miss, fail, break and turn away: each end that
+// a client saw stands once, and each attempt that a server had.
+TEST_F(Managed, UnderManyClientsTheFiguresAreWhatTheyGotAndWhatServersHad) {
+  begin();
+  int turn = 0;
+  const auto answer = [&](const std::string&) {
+    switch (++turn % 11) {
+      case 3: return response(404);
+      case 5: return response(500);
+      case 7: return response(503, "", "X-Turned-Away: 1\r\n");
+      default: return response(200, std::string(static_cast<std::size_t>(turn % 5) * 40'000, 'x'));
+    }
+  };
+  cache.answer = second.answer = origin.answer = answer;
+  constexpr std::size_t kClients = 40, kEach = 10;
+  std::vector<std::unique_ptr<FakeClient>> all;
+  for (std::size_t i = 0; i < kClients; ++i) all.push_back(client());
+  std::map<std::string, Figures::Ends> got;
+  for (std::size_t round = 0; round < kEach; ++round) {
+    for (std::size_t i = 0; i < kClients; ++i) {
+      const std::string lane = i % 3 == 0 ? "save" : i % 3 == 1 ? "pay" : "read";
+      all[i]->ask(lane == "read"
+                      ? read_of(static_cast<int>(round * kClients + i))
+                      : request_text("PUT", "/" + lane + "/1", lane, "x", "8.0",
+                                     "Idempotency-Key: k" + std::to_string(round * kClients + i) + "\r\n"));
+    }
+    ASSERT_TRUE(wait_for([&] {
+      return std::all_of(all.begin(), all.end(),
+                         [&](const auto& one) { return one->answers.size() == round + 1; });
+    }));
+    for (std::size_t i = 0; i < kClients; ++i) {
+      Figures::Ends& ends = got[i % 3 == 0 ? "save" : i % 3 == 1 ? "pay" : "read"];
+      const int status = all[i]->status(round);
+      ++(status == 200 ? ends.success : status == 503 || status == 429 ? ends.busy : ends.failure);
+    }
+  }
+  // Cancelled copies may still be on their way to where they are counted.
+  ASSERT_TRUE(wait_for([&] {
+    const auto dump = host->operators().dump();
+    return dump.inflight == 0 &&
+           dump.backend_calls == cache.requests.size() + second.requests.size() + origin.requests.size();
+  }));
+  const auto dump = host->operators().dump();
+  for (const std::string name : {"read", "save", "pay"}) {
+    EXPECT_EQ(dump.classes.at(name).success, got[name].success) << name;
+    EXPECT_EQ(dump.classes.at(name).busy, got[name].busy) << name;
+    EXPECT_EQ(dump.classes.at(name).failure, got[name].failure) << name;
+  }
+  EXPECT_GT(got["pay"].failure, 0U);
+  EXPECT_GT(got["read"].success, 0U);
+}
+
 }  // namespace
 }  // namespace streampick::node::test
--- a/tests/policy/replay_test.cpp
+++ b/tests/policy/replay_test.cpp
@@ -32,6 +32,13 @@
   EXPECT_EQ(tally.digest, recorded.digest) << std::hex << tally.digest;
 }
 
+// All that was learned stays: the decisions are the very same.
+TEST_P(Replay, SettingsGivenAnewChangeNothing) {
+  World world(GetParam().shape);
+  world.give_settings_each(50);
+  EXPECT_EQ(world.run(6'000).digest, GetParam().digest);
+}
+
 INSTANTIATE_TEST_SUITE_P(
     Worlds, Replay,
     ::testing::Values(
--- a/tests/policy/world.h
+++ b/tests/policy/world.h
@@ -76,9 +76,12 @@
       events_.pop();
       now_ = event.time;
       play(event);
+      if (new_settings_ > 0 && ++played_ % new_settings_ == 0) router_.on_config(now_, config());
     }
     return tally_;
   }
+  // The settings are given anew, the same, after each so many events.
+  void give_settings_each(int events) { new_settings_ = events; }
   std::size_t unanswered() const { return open_.size(); }
   const std::map<Time, Second>& seconds() const { return seconds_; }
   int most_at_origin() const { return most_at_origin_; }
@@ -330,7 +333,7 @@
   std::priority_queue<Event> events_;
   std::uint64_t order_ = 0;
   RequestId last_ = 0;
-  int left_ = 0;
+  int left_ = 0, new_settings_ = 0, played_ = 0;
   Router router_;
 };
 
--- a/tests/resp/loopback_test.cpp
+++ b/tests/resp/loopback_test.cpp
@@ -725,5 +725,23 @@
   EXPECT_EQ(one->reply(0).text.rfind("TRYAGAIN refused, nothing ran; come back in ", 0), 0U);
 }
 
+TEST_F(RespLoopback, ClientsSentAwayGoAndAreTakenAgain) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  start_http();
+  const auto idle = resp_client();
+  idle->ask({"GET", "k"});
+  ASSERT_TRUE(wait_for([&] { return idle->replies.size() == 1; }));
+  host->operators().answer({management::Call::Kind::leave, {}});
+  ASSERT_TRUE(wait_for([&] { return idle->peer->ended; }));
+  host->operators().answer({management::Call::Kind::join, {}});
+  const auto again = resp_client();
+  again->ask({"GET", "k"});
+  ASSERT_TRUE(wait_for([&] { return again->replies.size() == 1; }));
+  quiet();
+  EXPECT_FALSE(again->peer->ended);
+  EXPECT_EQ(host->operators().dump().classes.at("read").success, 2U);
+  EXPECT_EQ(host->operators().dump().backend_calls, cache.requests.size());
+}
+
 }  // namespace
 }  // namespace streampick::node::test
--- a/tests/takeover/upgrade_test.cpp
+++ b/tests/takeover/upgrade_test.cpp
@@ -205,5 +205,58 @@
   EXPECT_NE(call(third, "DUMP").find("\"hosts_down\":1"), std::string::npos);
 }
 
+TEST_F(Upgrade, ADrainOutlivesTheProcessThatWasToldOfIt) {
+  const tcp::endpoint first = free_port(io), next = free_port(io);
+  const pid_t old = run(first);
+  ASSERT_TRUE(says_yes(first));
+  EXPECT_EQ(call(first, "LEAVE").rfind("ACK", 0), 0U);
+  run(next);
+  ASSERT_TRUE(says_yes(next));
+  ASSERT_EQ(::kill(old, SIGTERM), 0);
+  // Both calls are answered during the stop too, and hold for the next.
+  EXPECT_EQ(call(first, "OFFLINE s-cache").rfind("ACK", 0), 0U);
+  EXPECT_EQ(exit_code(old), 0);
+  const auto up = [&] {
+    FakeClient one(io, door_.local_endpoint());
+    one.ask("GET /up HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(wait_for([&] { return !one.answers.empty(); }));
+    return one.answers.empty() ? 0 : one.status();
+  };
+  EXPECT_EQ(up(), 503);
+  EXPECT_EQ(ask(1), 200);  // what comes all the same is served
+  EXPECT_TRUE(wait_for([&] { return call(next, "DUMP").find("\"hosts_down\":1") != std::string::npos; }));
+  EXPECT_EQ(call(next, "JOIN").rfind("ACK", 0), 0U);
+  EXPECT_EQ(up(), 200);
+}
+
+// Half of its head is in the old process's hands when that is told to stop.
+TEST_F(Upgrade, ARequestOfWhichHalfTheHeadIsReadIsServed) {
+  const tcp::endpoint first = free_port(io), next = free_port(io);
+  const pid_t old = run(first);
+  ASSERT_TRUE(says_yes(first));
+  FakeClient half(io, door_.local_endpoint());
+  const std::string text = request_text("GET", "/read/1", "read");
+  half.ask(text.substr(0, 20));
+  quiet(50);
+  run(next);
+  ASSERT_TRUE(says_yes(next));
+  ASSERT_EQ(::kill(old, SIGTERM), 0);
+  quiet(700);  // longer than it lets idle connections stay
+  half.ask(text.substr(20));
+  ASSERT_TRUE(wait_for([&] { return half.answers.size() == 1 || half.peer->ended; }));
+  ASSERT_EQ(half.answers.size(), 1U);
+  EXPECT_EQ(half.status(), 200);
+  EXPECT_EQ(exit_code(old), 0);
+}
+
+TEST_F(Upgrade, ASocketThatListensElsewhereIsTurnedDown) {
+  tcp::acceptor other(io, any_port());
+  const int kept = ::dup(door_.native_handle());
+  ::dup2(other.native_handle(), door_.native_handle());
+  EXPECT_EQ(exit_code(run(free_port(io))), 2);
+  ::dup2(kept, door_.native_handle());
+  ::close(kept);
+}
+
 }  // namespace
 }  // namespace streampick::node::test
