--- /dev/null
+++ b/cmake/packages.cmake
@@ -0,0 +1,31 @@
+# Finds what the build needs and, where it is missing, names the Debian package of cmake/packages.txt.
+include_guard(GLOBAL)
+set(streampick_packages ${CMAKE_CURRENT_LIST_DIR}/packages.txt)
+
+# Ends the configuration with the package that brings `what`.
+function(streampick_missing what)
+  file(STRINGS ${streampick_packages} rows REGEX "^[a-z]")
+  foreach(row ${rows})
+    string(REGEX REPLACE " +" ";" row "${row}")
+    list(GET row 1 package)
+    list(GET row 2 sought)
+    if(sought STREQUAL what)
+      message(FATAL_ERROR "${what} was not found, or an old one: apt-get install ${package}")
+    endif()
+  endforeach()
+  message(FATAL_ERROR "${what} was not found, and cmake/packages.txt names no package for it")
+endfunction()
+
+macro(streampick_find_package name)
+  find_package(${name} ${ARGN} QUIET)
+  if(NOT ${name}_FOUND)
+    streampick_missing(${name})
+  endif()
+endmacro()
+
+macro(streampick_find_header variable header)
+  find_path(${variable} ${header})
+  if(NOT ${variable})
+    streampick_missing(${header})
+  endif()
+endmacro()
--- a/cmake/proto.cmake
+++ b/cmake/proto.cmake
@@ -1,7 +1,7 @@
 # protoc and gRPC, for the parts that speak it.
 include_guard(GLOBAL)
-find_package(Protobuf REQUIRED)
-find_package(gRPC CONFIG REQUIRED)
+streampick_find_package(Protobuf)
+streampick_find_package(gRPC CONFIG)
 
 # Sets OUT to what protoc and gRPC's plug-in make of a .proto file under proto/.
 function(streampick_proto out proto)
--- a/tools/demo.cpp
+++ b/tools/demo.cpp
@@ -109,7 +109,7 @@
 int main(int argc, char** argv) {
   bool once = false;
   unsigned short http_port = 3000, resp_port = 6380;
-  std::string router = "build-full/streampick_router", log = "build-full/demo-router.log";
+  std::string router = "build-demo/streampick_router", log = "build-demo/demo-router.log";
   CLI::App app("The router between stand-in caches, on loopback.", "demo");
   app.add_flag("--once", once, "end after the traffic");
   app.add_option("--http", http_port, "the router's port for HTTP");
