What still waits for its connection is taken back when its request is over

The module leaves an origin read that is out to end by itself when the request is answered otherwise (policy/execution.h, finish()), so that its answer is stored; but out may mean waiting for a dial (Upstream::waiting_), and came_free() then wrote it. Ruled out: attempts at caches (finish() cancels them, and forget() takes a waiting one out) and followers of an origin read (asked only while they are open).

Change: Transport::take_back stops an attempt of which no byte has gone; the engine calls it for all attempts of a request that is answered or whose client has left, and tells the module not_sent. HTTP, RESP and held transports have it.

--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -224,11 +224,23 @@
   found->second.asker.reset();
   found->second.ticket = {};
   end_upload(found->second);
+  take_back_unsent(request, found->second);
   router_->on_withdrawn(time_.now(), request);
   forget_if_done(request);
   settle();
 }
 
+// Nothing is sent for a request that is over: what still waits for its connection never goes out. The module
+// leaves origin reads to end by themselves, and does not know which of them have begun.
+void Engine::take_back_unsent(RequestId request, const Open& open) {
+  for (std::uint32_t number = 0; number < open.attempts.size(); ++number) {
+    const Attempt& attempt = open.attempts[number];
+    if (!attempt.live || attempt.server >= servers_.size() || !servers_[attempt.server].transport) continue;
+    if (servers_[attempt.server].transport->take_back({request, number}))
+      ended_.push_back({{request, number}, Outcome::not_sent});
+  }
+}
+
 void Engine::turned_away(std::uint32_t request_class) {
   if (request_class < ends_.size()) Figures::turned_away(ends_[request_class]);
 }
@@ -252,6 +264,7 @@
   if (asker) asker->reply(tag, std::move(reply));
   // Behind the reply: who asked cuts the body short first, so that the server's side ends too.
   end_upload(open);
+  take_back_unsent(request, open);
   ended_.push_back({{request, kNone}, Outcome::not_sent});  // to be looked at once the module is done
 }
 
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -163,6 +163,7 @@
   void report(AttemptId attempt, Outcome outcome);
   static void set_time(Open& open, Time gives_up, Time patience);
   void end_upload(const Open& open);
+  void take_back_unsent(RequestId request, const Open& open);
   void forget_if_done(RequestId request);
   void forget_txns();
   void forget_if_gone(ServerId server);
--- a/src/engine/transport.h
+++ b/src/engine/transport.h
@@ -26,6 +26,9 @@
   // be on its way; `overdue`: none came in its time.
   enum class Forget : std::uint8_t { unwanted, overdue };
   virtual void forget(AttemptId attempt, Forget why) = 0;
+  // Stops the attempt if none of its bytes has gone out, as while its connection is being made. True: it
+  // never will, and no outcome follows.
+  virtual bool take_back(AttemptId attempt) = 0;
   virtual void close_idle(Time unused_since) = 0;  // those last used then or before
   virtual bool close_oldest_idle() = 0;
   // Whether part of an answer is still on its way through, its attempt having ended with its first byte.
--- a/src/http1/transport.cpp
+++ b/src/http1/transport.cpp
@@ -621,13 +621,13 @@
   if (draining_.erase(link) > 0) --links_.draining;
 }
 
+bool Upstream::take_back(AttemptId attempt) {
+  // A dial goes on: the server has begun its work, the pool takes the result.
+  return std::erase_if(waiting_, [&](const Job& waits) { return waits.attempt == attempt; }) > 0;
+}
+
 void Upstream::forget(AttemptId attempt, Forget why) {
-  const auto job = std::find_if(waiting_.begin(), waiting_.end(),
-                                [&](const Job& waits) { return waits.attempt == attempt; });
-  if (job != waiting_.end()) {
-    waiting_.erase(job);  // the dial goes on: the server has begun its work, the pool takes the result
-    return;
-  }
+  if (take_back(attempt)) return;
   const auto link = std::find_if(busy_.begin(), busy_.end(), [&](const Link& busy) {
     return busy->job() && busy->job()->attempt == attempt;
   });
--- a/src/plugin/held_transport.h
+++ b/src/plugin/held_transport.h
@@ -33,11 +33,12 @@
     if (held_.empty() && may_send_()) return forward({attempt, std::move(message), expires});
     held_.push_back({attempt, std::move(message), expires});
   }
+  bool take_back(node::AttemptId attempt) override {
+    const auto is_it = [&](const Held& one) { return one.attempt == attempt; };
+    return std::erase_if(held_, is_it) > 0 || inner_->take_back(attempt);
+  }
   void forget(node::AttemptId attempt, Forget why) override {
-    const auto held =
-        std::find_if(held_.begin(), held_.end(), [&](const Held& one) { return one.attempt == attempt; });
-    if (held == held_.end()) return inner_->forget(attempt, why);
-    held_.erase(held);
+    if (!take_back(attempt)) inner_->forget(attempt, why);
   }
   void close_idle(Time unused_since) override { inner_->close_idle(unused_since); }
   bool close_oldest_idle() override { return inner_->close_oldest_idle(); }
--- a/src/resp/transport.cpp
+++ b/src/resp/transport.cpp
@@ -341,13 +341,13 @@
   std::erase(connections_, keep);
 }
 
+bool RespTransport::take_back(AttemptId attempt) {
+  // A dial goes on: the pool takes the result.
+  return std::erase_if(waiting_, [&](const Job& waits) { return waits.attempt == attempt; }) > 0;
+}
+
 void RespTransport::forget(AttemptId attempt, Forget) {
-  const auto job = std::find_if(waiting_.begin(), waiting_.end(),
-                                [&](const Job& waits) { return waits.attempt == attempt; });
-  if (job != waiting_.end()) {
-    waiting_.erase(job);  // a dial goes on: the pool takes the result
-    return;
-  }
+  if (take_back(attempt)) return;
   for (const Link& link : connections_) {
     const std::size_t before = link->pipe.in_flight() - link->owed_to_nobody();
     link->pipe.forget(attempt);
--- a/src/resp/transport.h
+++ b/src/resp/transport.h
@@ -54,6 +54,7 @@
   void set_address(const std::string& address) override;
   void send(node::AttemptId attempt, std::shared_ptr<const node::Message> message, Time expires) override;
   // Costs no connection, unless a part of the command is written.
+  bool take_back(node::AttemptId attempt) override;
   void forget(node::AttemptId attempt, Forget why) override;
   void close_idle(Time unused_since) override;
   bool close_oldest_idle() override;
--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -294,6 +294,34 @@
   EXPECT_FALSE(fleet.sent.at(first + 1).closed);
 }
 
+// An origin read is left to end when its request is over, so that its answer is stored: not one that has not
+// begun, whose connection is still being made when the request's answer comes from elsewhere, or nobody
+// waits.
+TEST_F(EngineTest, WhatStillWaitsForItsConnectionIsTakenBackWhenItsRequestIsOver) {
+  const auto not_sent = [this] {
+    return engine->counts().outcomes[static_cast<std::size_t>(Outcome::not_sent)];
+  };
+  for (const bool answered : {true, false}) {
+    for (const bool dials : {true, false}) {
+      fleet.dials.clear();
+      if (dials) fleet.dials.insert("origin");
+      const std::size_t first = fleet.sent.size();
+      const std::uint64_t before = not_sent();
+      const RequestId request = ask(kRead, 1, 8 * kSecond, 300 + first);
+      time.advance(900 * kMs);  // a copy is out
+      ASSERT_EQ(fleet.sent.size(), first + 2);
+      end(first, Outcome::miss);
+      ASSERT_EQ(fleet.sent.size(), first + 3);
+      ASSERT_EQ(fleet.sent.back().server, "origin");
+      answered ? end(first + 1, Outcome::served) : engine->withdrawn(request);
+      EXPECT_EQ(fleet.sent[first + 2].taken_back, dials) << answered;
+      EXPECT_FALSE(fleet.sent[first + 2].forgotten);
+      EXPECT_EQ(not_sent() - before, dials ? 1U : 0U);
+      if (!dials) end(first + 2, Outcome::served);
+    }
+  }
+}
+
 TEST_F(EngineTest, AfterAPauseWhatItsTimeIsUpForFailsAtOnceAndTheRestHasThatMuchLess) {
   ask(kRead, 1, 2 * kSecond, 1);
   ask(kRead, 2, 8 * kSecond, 2);
--- a/tests/engine/hand_driven.h
+++ b/tests/engine/hand_driven.h
@@ -64,6 +64,7 @@
   Time at;
   bool forgotten = false;
   bool closed = false;  // forgotten as overdue: its connection is not waited for
+  bool taken_back = false;
 };
 
 class Fleet final : public Transports {
@@ -77,6 +78,7 @@
   std::vector<std::pair<std::string, std::string>> kept;  // server, value
   std::set<std::string> gone;                             // whose transport was given up
   bool wants_values = false;
+  std::set<std::string> dials;  // whose connections are still being made: nothing goes out to them
 
  private:
   struct Server final : Transport {
@@ -98,6 +100,11 @@
           sent.closed = why == Forget::overdue;
         }
     }
+    bool take_back(AttemptId attempt) override {
+      if (!owner_.dials.contains(name_)) return false;
+      for (Sent& sent : owner_.sent) sent.taken_back |= sent.attempt == attempt;
+      return true;
+    }
     void close_idle(Time) override {}
     bool close_oldest_idle() override { return false; }
     bool wants_values() const override { return owner_.wants_values; }
--- a/tests/engine/scripted_fleet.h
+++ b/tests/engine/scripted_fleet.h
@@ -54,6 +54,7 @@
       if (owner_.time_.now() >= nothing_from_) return owner_.later(1, attempt, Outcome::not_sent, {});
       owner_.sent(name_, origin_, attempt, *message);
     }
+    bool take_back(AttemptId) override { return false; }
     void forget(AttemptId attempt, Forget) override { owner_.out_.erase({attempt.request, attempt.number}); }
     void close_idle(Time) override {}
     bool close_oldest_idle() override { return false; }
--- a/tests/http1/upstream_test.cpp
+++ b/tests/http1/upstream_test.cpp
@@ -110,6 +110,22 @@
   EXPECT_TRUE(record.ended.empty());
 }
 
+TEST_F(OneServer, WhatWaitsForADialIsTakenBackAndNeverWrittenAndWhatIsOutIsNot) {
+  send(0);  // its connection is not made before the loop runs
+  EXPECT_TRUE(upstream.take_back({1, 0}));
+  EXPECT_FALSE(upstream.take_back({1, 0}));
+  ASSERT_TRUE(wait_for([&] { return cache.peers.size() == 1; }));  // the dial went on
+  quiet();
+  EXPECT_TRUE(cache.requests.empty());
+  send(1);
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  EXPECT_FALSE(upstream.take_back({1, 1}));
+  cache.peers[0]->write(response(200, "x"));
+  ASSERT_TRUE(wait_for([&] { return record.ended.size() == 1; }));
+  EXPECT_EQ(record.ended[0].first.number, 1U);
+  EXPECT_EQ(cache.peers.size(), 1U);
+}
+
 TEST_F(OneServer, TheConnectionUsedLastIsUsedNextAndOldOnesAreClosed) {
   send(0);
   send(1);
