The fleet gets back after a burst: connections kept while they pay, a floor of one

(2) 5,047 of 5,762 refusals came from the entry with 0 to 2 in flight and a limit of 0.25 to 1: admission.h adjust_limit() cut the limit to what was in flight at the tick, which in a router of 12 requests a second is mostly nothing.

Change: an idle connection is kept for as long as it costs what a new one does (prices, routers and rate are in the settings), where the last use came sooner; elsewhere half a second. The limit's cut starts from the most in flight since the last step, and never goes below one at a time while all routers' ones stay within what servers begin with.

--- a/include/streampick/router.h
+++ b/include/streampick/router.h
@@ -66,7 +66,8 @@
   Time max_retry_after = 0;
   Time dial_time_out = 0;      // a connection not made within this fails
   Time keep_alive = 0;         // an idle connection closes after this; 0: not told
-  double connection_cost = 0;  // price of open connections; 0: they cost nothing
+  double connection_cost = 0;  // price of open connections, for each 100 x servers; 0: they cost nothing
+  double handshake_cost = 0;   // price of new connections, for each request
   double cold_share = 1;       // a starting server can do at least this share of its work ...
   Time cold_time = 0;          // ... and all of it after this time
   std::vector<RequestClass> classes;
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -1,6 +1,6 @@
-// Sheds what cannot be answered in time: a limit on cache work in flight, cut when answers take long or reads
-// are turned away twice, raised while it is used. Tenants over their quota and classes of less worth get
-// less; a read waits a little for room, last in first out. Writes that go to the origin pass.
+// A limit on cache work in flight, cut when answers take long or reads are turned away twice, raised while it
+// is used. Tenants over quota and classes of less worth get less; a read waits a little; writes to the origin
+// pass.
 #pragma once
 
 #include "policy/origin.h"
@@ -8,7 +8,7 @@
 namespace streampick::policy {
 
 inline constexpr double kLimitStart = 3;  // first limit on cache work in flight: this for each server, shared
-inline constexpr double kLimitLeast = 0.5;       // ... and the least one
+inline constexpr double kLimitLeast = 0.5;       // ... and the least, but for one at a time within the first
 inline constexpr double kEntryWaitPerAim = 0.2;  // longest wait for room, as a share of the aim
 inline constexpr double kOverQuotaPart = 0.6;    // of the limit, for tenants over their quota
 inline constexpr double kLeastWorthPart = 0.3;   // ... and this much less of it for a class worth nothing
@@ -74,10 +74,11 @@
   }
 
   void adjust_limit() {
-    const int in_flight = cache_in_flight_;
+    const int in_flight = std::exchange(most_in_flight_, cache_in_flight_);
     double& limit = cache_limit_.value;
     if (crowding_ > kCrowdedPerAim) {
-      limit = std::max(kLimitLeast * even_part(), std::min<double>(limit, in_flight + 1) * kShedDown);
+      const double least = std::max(kLimitLeast * even_part(), std::min(1.0, kLimitStart * even_part()));
+      limit = std::max(least, std::min<double>(limit, in_flight + 1) * kShedDown);
     } else if (limit_used_ || in_flight >= limit * 0.7) {
       limit = std::min(1e9, limit * kShedUp);
     }
--- a/src/policy/execution.h
+++ b/src/policy/execution.h
@@ -1,5 +1,5 @@
-// Copies after each constant delay, moving on per outcome, the origin read after a miss, the deadline: the
-// one place that says what may be sent again. For when the whole fleet is slow, copies have a budget.
+// Copies after each constant delay, within a budget; moving on per outcome; the origin read after a miss; the
+// deadline: the one place that says what may be sent again.
 #pragma once
 
 #include "policy/servers.h"
@@ -86,6 +86,7 @@
     ++to.in_flight;
     for (Health* health : healths(to)) ++health->in_flight;
     ++(origin ? origin_in_flight_ : cache_in_flight_);
+    most_in_flight_ = std::max(most_in_flight_, cache_in_flight_);
     if (origin && open.request.write) ++origin_writes_;
     sink_.send(open.request.id, server, 0);
   }
--- a/src/policy/origin.h
+++ b/src/policy/origin.h
@@ -1,6 +1,5 @@
 // A limit on the origin work in flight, learned from its answers; one read of a key at a time; a short wait
-// in line, then an early refusal. It guards against floods of misses and a slow origin. It hurts when the
-// origin is merely far away and slow answers are normal, which is why its usual time counts too.
+// in line, then an early refusal. Where slow answers are normal its usual time counts too.
 #pragma once
 
 #include "policy/execution.h"
--- a/src/policy/plan.h
+++ b/src/policy/plan.h
@@ -1,6 +1,5 @@
-// Weighted rendezvous order over the ready cache servers, one server an execution, skipping one whose own
-// in-flight count has reached its bound. It guards against hot keys, uneven machines and slow servers. It
-// hurts where few requests are in flight and a low bound scatters keys over servers that do not keep them.
+// Weighted rendezvous order over the ready cache servers, one an execution, skipping one whose own in-flight
+// count has reached its bound. It hurts where few are in flight and keys scatter over servers that lack them.
 #pragma once
 
 #include "policy/state.h"
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -1,7 +1,6 @@
-// Interface: include/streampick/router.h. All decisions and their constants are in this folder. From the
-// ground up: state.h, plan.h, servers.h, execution.h, origin.h, admission.h, and here the events and the
-// list. Ordinary path: a key read goes to its bounded-hash server; each further constant delay without an
-// answer launches one more copy on the key's next server; losers are cancelled.
+// All decisions and their constants are in this folder: state.h, plan.h, servers.h, execution.h, origin.h,
+// admission.h, each on those before, and here the events and the list. Ordinary path: a key read goes to its
+// bounded-hash server; each constant delay without an answer adds a copy on the next; losers are cancelled.
 #include "streampick/router.h"
 
 #include "policy/admission.h"
@@ -125,8 +124,7 @@
     drain_origin_line();
   }
 
-  // Takes pushed changes, or subscribes where the list must be asked, again after a failure with
-  // backoff and jitter. It guards against a list that is out of reach: the old one stays in use.
+  // Where the list must be asked: again after a failure, with backoff and jitter; the old one stays in use.
   void ask_after(Time wait) {
     ask_at_ = now_ + wait;
     add_timer(ask_at_, Wake::watch);
--- a/src/policy/servers.h
+++ b/src/policy/servers.h
@@ -1,6 +1,5 @@
 // Health from this router's own outcomes. Speed learned from answers sets the weight; bad outcomes in a row
-// eject, for longer each time, and one trial request brings back. It guards against slow, hung and
-// unreachable servers. Where everything looks bad, as with our own network at fault, nothing is ejected.
+// eject, for longer each time, and one trial brings back. Where everything looks bad, nothing is ejected.
 #pragma once
 
 #include "policy/plan.h"
@@ -92,25 +91,27 @@
     } else if (attempt.dial && !failed && keep_ < keep_most_) {
       keep_ = std::min(keep_most_, times(keep_, kKeepUp));
     }
+    const bool often = now_ - std::exchange(server.used, now_) < worth_keeping();
     if (failed || server.in_flight > 0) return;
-    idle_.emplace_back(now_, id);
+    idle_[often].emplace_back(now_, id);
     close_idle();
   }
 
   void close_idle() {
-    while (!idle_.empty()) {
-      const auto [used, id] = idle_.front();
-      Server& server = servers_[id];
-      const bool stale = server.linked != used || server.in_flight > 0;
-      if (!stale && now_ - used < keep()) break;
-      idle_.pop_front();
-      if (stale) continue;
-      server.linked = 0;
-      if (keep() < keep_most_) sink_.close_idle(id);
+    Time next = kNever;
+    for (const bool often : {false, true}) {
+      const Time kept = keep(often);
+      for (auto& line = idle_[often]; !line.empty(); line.pop_front()) {
+        const auto [used, id] = line.front();
+        Server& server = servers_[id];
+        if (server.linked != used || server.in_flight > 0) continue;
+        if (now_ - used < kept && kept < keep_most_) next = std::min(next, used + kept);
+        if (now_ - used < kept) break;
+        server.linked = 0;
+        if (kept < keep_most_) sink_.close_idle(id);
+      }
     }
-    if (idle_.empty() || idle_timer_ > now_ || keep() >= keep_most_) return;
-    idle_timer_ = idle_.front().first + keep();
-    add_timer(idle_timer_, Wake::idle);
+    if (next < kNever && idle_timer_ <= now_) add_timer(idle_timer_ = next, Wake::idle);
   }
 
   // By kind: a server's own answers are few, and would set each router's plans apart.
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -26,8 +26,7 @@
 inline constexpr double kForget = 0.05;           // of what is learned, with each answer ...
 inline constexpr Time kForgetTime = 2 * kSecond;  // ... and with time: a quiet router has few answers
 inline constexpr double kCrowdedPerAim = 0.35;    // cache answers slower than this share of the aim: crowded
-inline constexpr Time kKeepSeldom = kSecond / 2;  // an idle connection that costs is closed after this ...
-inline constexpr Time kSeldom = 30 * kSecond;     // ... where its next use is further away than this
+inline constexpr Time kKeepSeldom = kSecond / 2;  // an idle connection that is used seldom and costs
 inline constexpr Time kAskFirst = kSecond / 2, kAskMost = 4 * kSecond, kAskAgain = 5 * kSecond;  // lists
 inline constexpr Time kTick = 200'000;  // of the limits, and of held requests that try again
 
@@ -64,9 +63,9 @@
   double weight = 1;   // nominal x learned speed; slow start comes on top
   double counted = 0;  // its part of healthy_
   Time full_until = 0;
-  int spoilt = 0;    // attempts in a row that a bad answer or the connection's end spoilt
-  Time linked = 0;   // when its connection was last in use; 0: none is open
-  bool off = false;  // when it was last looked at
+  int spoilt = 0;             // attempts in a row that a bad answer or the connection's end spoilt
+  Time linked = 0, used = 0;  // when its connection was last in use, 0: none is open; when one was
+  bool off = false;           // when it was last looked at
   bool planned = false;
 };
 
@@ -78,8 +77,7 @@
   bool live = false, struck = false, dial = false, origin = false, stuck = false;
 };
 
-// On work in flight, as this router's part of the whole. Below one it is kept as a rate: one at a time,
-// and after each a pause, so that all routers together still keep to the whole.
+// On work in flight, a part of the whole. Below one it is a rate: one at a time, and after each a pause.
 struct Limit {
   double value = 0;
   Time rest = 0;  // no more before this
@@ -163,10 +161,13 @@
     return health.ejected_until > now_ || (health.strikes >= kStrikesToEject && health.in_flight > 0);
   }
   bool refused(const AttemptResult& result) const { return 2 * result.took < config_.dial_time_out; }
-  Time keep() const {
-    const bool seldom = config_.connection_cost > 0 && gap_ * static_cast<double>(plan_.size()) > kSeldom;
-    return seldom ? std::min(keep_, kKeepSeldom) : keep_;
+  // An open connection costs as much as a new one after this: kept for so long where it was used that often.
+  Time worth_keeping() const {
+    if (config_.connection_cost <= 0) return kNever;
+    const double each = 100 * gap_ * static_cast<double>(plan_.size()) / config_.routers;
+    return times(1, std::min<double>(kLong, each * config_.handshake_cost / config_.connection_cost));
   }
+  Time keep(bool often) const { return std::min(keep_, often ? worth_keeping() : kKeepSeldom); }
   bool linked(const Server& server) const {
     return server.in_flight > 0 || (server.linked > 0 && now_ - server.linked < keep_most_);
   }
@@ -199,14 +200,14 @@
   double healthy_ = 0;          // weight of those that are well, each as it was when last looked at
   std::size_t next_look_ = 0;   // where in a large plan the next tick goes on
   ServerId origin_ = kNone;
-  int cache_in_flight_ = 0, stuck_ = 0;
-  std::map<std::uint32_t, Health> zones_, cells_;  // ordered, and its nodes stay where they are
+  int cache_in_flight_ = 0, most_in_flight_ = 0, stuck_ = 0;  // most: since the last tick
+  std::map<std::uint32_t, Health> zones_, cells_;             // ordered, and its nodes stay where they are
 
   Time last_reweigh_ = 0, arrived_ = 0, idle_timer_ = 0;
-  double gap_ = 0;                              // between requests, usually
-  Time keep_ = kLong, keep_most_ = kLong;       // how long idle connections are kept
-  double dial_refused_ = 0;                     // share of new connections lately
-  std::deque<std::pair<Time, ServerId>> idle_;  // in order of their last use
+  double gap_ = 0;                                             // between requests, usually
+  Time keep_ = kLong, keep_most_ = kLong;                      // how long idle connections are kept
+  double dial_refused_ = 0;                                    // share of new connections lately
+  std::array<std::deque<std::pair<Time, ServerId>>, 2> idle_;  // used seldom, often; by their last use
 
   std::vector<Open> open_;
   std::vector<std::uint32_t> free_;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -170,6 +170,7 @@
   config.dial_time_out = pairs.integer<Time>("PolicyLimits.DialTimeoutUs", 0);
   config.keep_alive = pairs.integer<Time>("PolicyLimits.KeepaliveUs", 0);
   config.connection_cost = pairs.number("Costs.Connection", 0);
+  config.handshake_cost = pairs.number("Costs.Handshake", 0);
   config.must_ask = pairs.text("RegistryMode") == "ask";
   config.answer_slack = pairs.integer<Time>("Guarantees.AnswerSlackUs", 0);
   config.cold_share = pairs.number("Guarantees.ColdShare", 1, std::numeric_limits<double>::min(), 1);
