Only fleets of over 100 routers close idle connections early; limit cut as before

Change: prices decide on idle connections only where the routers outnumber the connections that the price counts for each server (100, by the protocol); the cut starts from what is in flight again, with the floor of one at a time.

--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -74,7 +74,7 @@
   }
 
   void adjust_limit() {
-    const int in_flight = std::exchange(most_in_flight_, cache_in_flight_);
+    const int in_flight = cache_in_flight_;
     double& limit = cache_limit_.value;
     if (crowding_ > kCrowdedPerAim) {
       const double least = std::max(kLimitLeast * even_part(), std::min(1.0, kLimitStart * even_part()));
--- a/src/policy/execution.h
+++ b/src/policy/execution.h
@@ -86,7 +86,6 @@
     ++to.in_flight;
     for (Health* health : healths(to)) ++health->in_flight;
     ++(origin ? origin_in_flight_ : cache_in_flight_);
-    most_in_flight_ = std::max(most_in_flight_, cache_in_flight_);
     if (origin && open.request.write) ++origin_writes_;
     sink_.send(open.request.id, server, 0);
   }
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -26,7 +26,8 @@
 inline constexpr double kForget = 0.05;           // of what is learned, with each answer ...
 inline constexpr Time kForgetTime = 2 * kSecond;  // ... and with time: a quiet router has few answers
 inline constexpr double kCrowdedPerAim = 0.35;    // cache answers slower than this share of the aim: crowded
-inline constexpr Time kKeepSeldom = kSecond / 2;  // an idle connection that is used seldom and costs
+inline constexpr std::uint32_t kPricedConnections = 100;  // for each server, by the protocol
+inline constexpr Time kKeepSeldom = kSecond / 2;          // an idle connection that is used seldom and costs
 inline constexpr Time kAskFirst = kSecond / 2, kAskMost = 4 * kSecond, kAskAgain = 5 * kSecond;  // lists
 inline constexpr Time kTick = 200'000;  // of the limits, and of held requests that try again
 
@@ -161,10 +162,10 @@
     return health.ejected_until > now_ || (health.strikes >= kStrikesToEject && health.in_flight > 0);
   }
   bool refused(const AttemptResult& result) const { return 2 * result.took < config_.dial_time_out; }
-  // An open connection costs as much as a new one after this: kept for so long where it was used that often.
+  // An open connection costs as much as a new one after this. Few routers can't fill a server's table.
   Time worth_keeping() const {
-    if (config_.connection_cost <= 0) return kNever;
-    const double each = 100 * gap_ * static_cast<double>(plan_.size()) / config_.routers;
+    if (config_.connection_cost <= 0 || config_.routers <= kPricedConnections) return kNever;
+    const double each = kPricedConnections * gap_ * static_cast<double>(plan_.size()) / config_.routers;
     return times(1, std::min<double>(kLong, each * config_.handshake_cost / config_.connection_cost));
   }
   Time keep(bool often) const { return std::min(keep_, often ? worth_keeping() : kKeepSeldom); }
@@ -200,8 +201,8 @@
   double healthy_ = 0;          // weight of those that are well, each as it was when last looked at
   std::size_t next_look_ = 0;   // where in a large plan the next tick goes on
   ServerId origin_ = kNone;
-  int cache_in_flight_ = 0, most_in_flight_ = 0, stuck_ = 0;  // most: since the last tick
-  std::map<std::uint32_t, Health> zones_, cells_;             // ordered, and its nodes stay where they are
+  int cache_in_flight_ = 0, stuck_ = 0;
+  std::map<std::uint32_t, Health> zones_, cells_;  // ordered, and its nodes stay where they are
 
   Time last_reweigh_ = 0, arrived_ = 0, idle_timer_ = 0;
   double gap_ = 0;                                             // between requests, usually
