Idle connections close in their time, their lines bounded; RESP takes back the unwritten

Cause, found by reading the change again: (1) with two lines of idle connections one timer stood for the later of them, and a connection used seldom waited for it (servers.h, close_idle); (2) where connections are kept for good a server that is never used again stands first in its line and all behind it stayed, one entry a use (older than the change); (3) RespTransport::take_back looked at what waits for a dial only, not at commands that stand unwritten in a pipe; (4) two comments stood above the wrong function.

Change: the timer moves to the earlier time; a line over twice the servers drops what has been used again; Pipeline::take_back is the first case of forget, which now calls it. The loop's load and saves whose body comes later are written once in the tests.

--- a/src/http1/transport.h
+++ b/src/http1/transport.h
@@ -28,8 +28,8 @@
 
   void set_address(const std::string& address) override;
   void send(AttemptId attempt, std::shared_ptr<const Message> message, Time expires) override;
-  // Drains the attempt's connection if the rules allow it, and closes it otherwise.
   bool take_back(AttemptId attempt) override;
+  // Drains the attempt's connection if the rules allow it, and closes it otherwise.
   void forget(AttemptId attempt, Forget why) override;
   void close_idle(Time unused_since) override;
   bool close_oldest_idle() override;
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -1,6 +1,5 @@
-// A limit on cache work in flight, cut when answers take long or reads are turned away twice, raised while it
-// is used. Tenants over quota and classes of less worth get less; a read waits a little; writes to the origin
-// pass.
+// A limit on cache work in flight, cut when answers take long or reads are turned away twice, raised while in
+// use. Tenants over quota and classes of less worth get less; a read waits a little; origin writes pass.
 #pragma once
 
 #include "policy/origin.h"
--- a/src/policy/execution.h
+++ b/src/policy/execution.h
@@ -1,5 +1,4 @@
-// Copies after each constant delay, within a budget; moving on per outcome; the origin read after a miss; the
-// deadline: the one place that says what may be sent again.
+// Copies, moving on per outcome, the origin read after a miss: the one place that says what goes out again.
 #pragma once
 
 #include "policy/servers.h"
@@ -138,9 +137,8 @@
     return std::min(config_.max_retry_after, times(meant, 0.5 + to_unit(mix(request))));
   }
 
-  // A read whose answer was spoilt, or whose connection broke, goes to the same server again: it has what it
-  // read, while the plan's next one would most often miss. A server that is gone refuses the new connection.
-  // A keyed write goes again while its repeats are discarded: its client would be told that this is harmless.
+  // A spoilt or broken read goes to the same server again: it has what it read, the plan's next would mostly
+  // miss. So does a keyed write while repeats are discarded: its client would be told that this is harmless.
   bool ask_again(std::uint32_t slot, const Attempt& attempt) {
     Open& open = open_[slot];
     const Server& server = servers_[attempt.server];
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -1,6 +1,5 @@
-// All decisions and their constants are in this folder: state.h, plan.h, servers.h, execution.h, origin.h,
-// admission.h, each on those before, and here the events and the list. Ordinary path: a key read goes to its
-// bounded-hash server; each constant delay without an answer adds a copy on the next; losers are cancelled.
+// The events and the list, on state.h, plan.h, servers.h, execution.h, origin.h and admission.h. A key read
+// goes to its bounded-hash server, a copy to the next after each constant delay; losers are cancelled.
 #include "streampick/router.h"
 
 #include "policy/admission.h"
--- a/src/policy/servers.h
+++ b/src/policy/servers.h
@@ -93,7 +93,10 @@
     }
     const bool often = now_ - std::exchange(server.used, now_) < worth_keeping();
     if (failed || server.in_flight > 0) return;
-    idle_[often].emplace_back(now_, id);
+    auto& line = idle_[often];
+    line.emplace_back(now_, id);
+    if (line.size() > 2 * servers_.size() + 64)  // most have been used again
+      std::erase_if(line, [this](const auto& one) { return servers_[one.second].linked != one.first; });
     close_idle();
   }
 
@@ -111,7 +114,8 @@
         if (kept < keep_most_) sink_.close_idle(id);
       }
     }
-    if (next < kNever && idle_timer_ <= now_) add_timer(idle_timer_ = next, Wake::idle);
+    if (next < kNever && (idle_timer_ <= now_ || next < idle_timer_))
+      add_timer(idle_timer_ = next, Wake::idle);
   }
 
   // By kind: a server's own answers are few, and would set each router's plans apart.
--- a/src/resp/pipeline.cpp
+++ b/src/resp/pipeline.cpp
@@ -203,25 +203,32 @@
   cut_from(first, Outcome::not_sent);
 }
 
-void Pipeline::forget(node::AttemptId attempt) {
-  const auto found = std::find_if(entries_.begin(), entries_.end(), [&](const Entry& entry) {
+std::deque<Pipeline::Entry>::iterator Pipeline::entry_of(node::AttemptId attempt) {
+  return std::find_if(entries_.begin(), entries_.end(), [&](const Entry& entry) {
     return entry.role == Role::attempt && !entry.forgotten && entry.attempt == attempt;
   });
+}
+
+bool Pipeline::take_back(node::AttemptId attempt) {
+  const auto found = entry_of(attempt);
+  if (found == entries_.end() || found->begin < written_ || found->end <= written_) return false;
+  // Its bytes are taken out of the run.
+  const std::uint64_t length = found->end - found->begin;
+  out_.erase(out_at_ + static_cast<std::size_t>(found->begin - written_), static_cast<std::size_t>(length));
+  offered_ -= length;
+  leave(*found);
+  for (auto behind = entries_.erase(found); behind != entries_.end(); ++behind) {
+    behind->begin -= length;
+    behind->end -= length;
+  }
+  return true;
+}
+
+void Pipeline::forget(node::AttemptId attempt) {
+  if (take_back(attempt)) return;
+  const auto found = entry_of(attempt);
   if (found == entries_.end()) return;
   const auto index = static_cast<std::size_t>(found - entries_.begin());
-  if (found->begin >= written_ && found->end > written_) {
-    // None of it has left: its bytes are taken out of the run.
-    const std::uint64_t length = found->end - found->begin;
-    out_.erase(out_at_ + static_cast<std::size_t>(found->begin - written_), static_cast<std::size_t>(length));
-    offered_ -= length;
-    leave(*found);
-    entries_.erase(found);
-    for (std::size_t i = index; i < entries_.size(); ++i) {
-      entries_[i].begin -= length;
-      entries_[i].end -= length;
-    }
-    return;
-  }
   if (found->end > written_) {
     // Some of it has left. The rest must not, for its request is over; what stands behind never left.
     leave(*found);
--- a/src/resp/pipeline.h
+++ b/src/resp/pipeline.h
@@ -61,6 +61,8 @@
   // A command of which a part is written can't be taken back nor go on: the connection then takes no further
   // bytes, and ends once what stands before it is answered.
   void forget(node::AttemptId attempt);
+  // The first case of these alone: false, and all stays, where one of its bytes is written.
+  bool take_back(node::AttemptId attempt);
 
   // Bytes that came.
   void put(std::string_view bytes);
@@ -113,6 +115,7 @@
   Version version_ = Version::resp2;
   Decoder decoder_;
   std::deque<Entry> entries_;
+  std::deque<Entry>::iterator entry_of(node::AttemptId attempt);
   std::string out_;
   std::size_t out_at_ = 0;
   std::uint64_t written_ = 0, offered_ = 0;  // bytes, ever
--- a/src/resp/transport.cpp
+++ b/src/resp/transport.cpp
@@ -343,7 +343,13 @@
 
 bool RespTransport::take_back(AttemptId attempt) {
   // A dial goes on: the pool takes the result.
-  return std::erase_if(waiting_, [&](const Job& waits) { return waits.attempt == attempt; }) > 0;
+  if (std::erase_if(waiting_, [&](const Job& waits) { return waits.attempt == attempt; }) > 0) return true;
+  for (const Link& link : connections_) {
+    if (!link->pipe.take_back(attempt)) continue;
+    gave_up(link);
+    return true;
+  }
+  return false;
 }
 
 void RespTransport::forget(AttemptId attempt, Forget) {
@@ -351,18 +357,20 @@
   for (const Link& link : connections_) {
     const std::size_t before = link->pipe.in_flight() - link->owed_to_nobody();
     link->pipe.forget(attempt);
-    if (link->pipe.waited_for() == before) continue;
-    if (link->pipe.waited_for() == 0 && link->pipe.in_flight() > 0 && link->owed_since == 0)
-      link->owed_since = time_.now();
-    // What it cut off, or that nothing is left to wait for, is told once the engine's call is over.
-    asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_), link] {
-      if (alive.lock() && std::find(connections_.begin(), connections_.end(), link) != connections_.end())
-        changed(link);
-    });
-    return;
+    if (link->pipe.waited_for() != before) return gave_up(link);
   }
 }
 
+// What that cut off, or that nothing is left to wait for, is told once the engine's call is over.
+void RespTransport::gave_up(const Link& link) {
+  if (link->pipe.waited_for() == 0 && link->pipe.in_flight() > 0 && link->owed_since == 0)
+    link->owed_since = time_.now();
+  asio::post(io_, [this, alive = std::weak_ptr<bool>(alive_), link] {
+    if (alive.lock() && std::find(connections_.begin(), connections_.end(), link) != connections_.end())
+      changed(link);
+  });
+}
+
 void RespTransport::close_idle(Time unused_since) {
   const Time now = time_.now();
   const std::vector<Link> all = connections_;
--- a/src/resp/transport.h
+++ b/src/resp/transport.h
@@ -53,8 +53,8 @@
 
   void set_address(const std::string& address) override;
   void send(node::AttemptId attempt, std::shared_ptr<const node::Message> message, Time expires) override;
-  // Costs no connection, unless a part of the command is written.
   bool take_back(node::AttemptId attempt) override;
+  // Costs no connection, unless a part of the command is written.
   void forget(node::AttemptId attempt, Forget why) override;
   void close_idle(Time unused_since) override;
   bool close_oldest_idle() override;
@@ -83,6 +83,7 @@
   void store_some();
   void store_soon();
   void changed(const Link& link);
+  void gave_up(const Link& link);
   void drop(const Link& link);
   void end_soon(node::AttemptId attempt, Outcome outcome);
 
--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -63,6 +63,18 @@
     incoming.tag = tag;
     return engine->asked(asker, std::move(incoming));
   }
+  // A save whose body is still to come.
+  std::pair<RequestId, std::shared_ptr<BodyStream>> save_that_comes(Class request_class, Time remaining) {
+    Incoming incoming;
+    const auto message = std::make_shared<Message>();
+    message->operation = Operation::write;
+    message->upload = std::make_shared<BodyStream>(std::nullopt, 1024);
+    incoming.message = message;
+    incoming.request_class = request_class;
+    incoming.txn = ++txn;
+    incoming.remaining = remaining;
+    return {engine->asked(asker, std::move(incoming)), message->upload};
+  }
   void end(std::size_t sent, Outcome outcome, const std::string& body = "v") {
     Answer answer;
     answer.body = body;
@@ -424,15 +436,7 @@
 
 // Its time runs from the last byte of the body, and not from the first.
 TEST_F(EngineTest, ALongBodysTimeRunsFromItsLastByte) {
-  Incoming incoming;
-  incoming.message = std::make_shared<Message>();
-  incoming.message->operation = Operation::write;
-  const auto upload = std::make_shared<BodyStream>(std::nullopt, 1024);
-  std::const_pointer_cast<Message>(incoming.message)->upload = upload;
-  incoming.request_class = kPay;
-  incoming.txn = ++txn;
-  incoming.remaining = kSecond;
-  const RequestId id = engine->asked(asker, std::move(incoming));
+  const auto [id, upload] = save_that_comes(kPay, kSecond);
   time.advance(5 * kSecond);
   EXPECT_EQ(replies(), 0U);
   upload->end(BodyStream::State::whole);
@@ -447,15 +451,7 @@
 TEST_F(EngineTest, OfABodyThatIsSpentNothingIsSentAgain) {
   for (const Class kind : {kSave, kPay}) {
     fleet.sent.clear();
-    Incoming incoming;
-    incoming.message = std::make_shared<Message>();
-    incoming.message->operation = Operation::write;
-    const auto upload = std::make_shared<BodyStream>(std::nullopt, 1024);
-    std::const_pointer_cast<Message>(incoming.message)->upload = upload;
-    incoming.request_class = kind;
-    incoming.txn = ++txn;
-    incoming.remaining = 8 * kSecond;
-    engine->asked(asker, std::move(incoming));
+    const auto upload = save_that_comes(kind, 8 * kSecond).second;
     ASSERT_EQ(fleet.sent.size(), 1U);
     upload->put("half");
     std::string taken;
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "daemon/host.h"
@@ -213,6 +214,27 @@
 // Of one key, under an id of its own each time.
 inline std::string a_read() { return request_text("GET", "/read/7f3a9c21e0b4d655", "read"); }
 
+// Work that is in the loop's way until it ends: each turn of it takes 10 ms.
+class LoopLoad {
+ public:
+  explicit LoopLoad(asio::io_context& io) : io_(io) { turn(); }
+  void end() { *busy_ = false; }
+  ~LoopLoad() { end(); }
+  LoopLoad(const LoopLoad&) = delete;
+  LoopLoad& operator=(const LoopLoad&) = delete;
+
+ private:
+  void turn() {
+    asio::post(io_, [this, busy = busy_] {
+      if (!*busy) return;
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      turn();
+    });
+  }
+  asio::io_context& io_;
+  std::shared_ptr<bool> busy_ = std::make_shared<bool>(true);
+};
+
 class Loopback : public ::testing::Test {
  protected:
   // A cache server and an origin, and the router between them and the clients.
--- a/tests/management/operators_test.cpp
+++ b/tests/management/operators_test.cpp
@@ -280,13 +280,7 @@
   settings.management.emplace() = any_port();
   settings.overload.late = 2'000;
   host = std::make_unique<Host>(io, clock, settings);
-  bool busy = true;
-  std::function<void()> block = [&] {
-    if (!busy) return;
-    std::this_thread::sleep_for(std::chrono::milliseconds(10));
-    asio::post(io, block);
-  };
-  block();
+  LoopLoad load(io);
   std::size_t served = 0, refused = 0;
   const auto one = client();
   for (std::size_t asked = 0; refused < 3 && asked < 400; ++asked) {
@@ -296,7 +290,7 @@
   }
   // The loop is as far behind for operators: they are answered.
   EXPECT_EQ(call("HEALTH"), "ACK serving\n");
-  busy = false;
+  load.end();
   ASSERT_EQ(refused, 3U);
   EXPECT_EQ(host->admission().refused(), 3U);
   const json told = figures();
--- a/tests/overload/crowd_test.cpp
+++ b/tests/overload/crowd_test.cpp
@@ -134,14 +134,7 @@
   settings.overload.late = 2'000;
   settings.overload.spared = {"save"};
   host = std::make_unique<Host>(io, clock, settings);
-  // Work that is in the loop's way: each turn of it takes 10 ms.
-  bool busy = true;
-  std::function<void()> block = [&] {
-    if (!busy) return;
-    std::this_thread::sleep_for(std::chrono::milliseconds(10));
-    asio::post(io, block);
-  };
-  block();
+  LoopLoad load(io);
   std::size_t shed = 0, saved = 0;
   const auto reader = client(), saver = client();
   ASSERT_TRUE(wait_for([&] {
@@ -160,7 +153,7 @@
     saver->answers.clear();
     return shed >= 3;
   }));
-  busy = false;
+  load.end();
   EXPECT_EQ(shed, 3U);
   EXPECT_GT(saved, 3U);
   // Of what was turned away nothing was taken: it went to no server.
--- a/tests/policy/entry_line_test.cpp
+++ b/tests/policy/entry_line_test.cpp
@@ -55,5 +55,22 @@
   EXPECT_LE(most, 40U);
 }
 
+// Where connections are kept for good one that is never used again stands first in the line for good.
+TEST(IdleLine, HoldsNoMoreThanAFewForEachServerHoweverOftenTheyAreUsed) {
+  Nowhere sink;
+  policy::Admission admission(one_class(), 1, 0, sink);
+  admission.servers_.resize(3);
+  AttemptResult result;
+  result.outcome = Outcome::served;
+  std::size_t most = 0;
+  for (int use = 0; use < 20'000; ++use) {
+    admission.now_ += 1'000;
+    admission.link(use == 0 ? 0 : 1 + use % 2, {}, result);
+    most = std::max(most, admission.idle_[0].size() + admission.idle_[1].size());
+  }
+  EXPECT_LE(most, 2 * 3 + 64 + 1U);
+  EXPECT_GE(admission.idle_[0].size() + admission.idle_[1].size(), 3U);  // each server's last use is there
+}
+
 }  // namespace
 }  // namespace streampick::test
--- a/tests/policy/router_test.cpp
+++ b/tests/policy/router_test.cpp
@@ -505,6 +505,33 @@
   }
 }
 
+// A connection that is used seldom is closed in its time though one used often is waited for until later.
+TEST(Connections, AreClosedInTheOrderOfTheirTimes) {
+  Config config = with_costs(200);
+  config.handshake_cost = 0.09;
+  config.connection_cost = 0.09;  // worth keeping for 3 s
+  FakeHost host(config);
+  for (RequestId id = 1; id <= 3; ++id) {
+    host.request(id, 0, 1);
+    host.result(host.sends.size() - 1, Outcome::served);
+    host.advance(1'000 * kMs);
+  }
+  const ServerId often = host.sends[0].server;
+  host.closes.clear();
+  RequestId id = 4;  // a key of another server
+  do host.request(id, 0, id);
+  while (host.sends.back().server == often && ++id < 50);
+  for (std::size_t send = 3; send < host.sends.size(); ++send) host.result(send, Outcome::served);
+  const ServerId seldom = host.sends.back().server;
+  ASSERT_NE(seldom, often);
+  host.advance(600 * kMs);
+  ASSERT_EQ(host.closes.size(), 1U);
+  EXPECT_EQ(host.closes[0].first, seldom);
+  host.advance(5'000 * kMs);
+  ASSERT_EQ(host.closes.size(), 2U);
+  EXPECT_EQ(host.closes[1].first, often);
+}
+
 TEST(Connections, AreKeptForAShorterTimeWhenServersRefuseNewOnes) {
   Config config = with_costs(200);
   config.connection_cost = 0;
