--- a/bench/roster/roster.cpp
+++ b/bench/roster/roster.cpp
@@ -36,6 +36,15 @@
   file >> all >> resident;
   return resident * (::sysconf(_SC_PAGESIZE) / 1024);
 }
+// What passed over the loopback device, heads of packets included; other programs' too.
+long long loopback_bytes() {
+  std::ifstream file("/proc/net/dev");
+  for (std::string name; file >> name; file.ignore(4'096, '\n')) {
+    long long bytes = 0;
+    if (name == "lo:" && file >> bytes) return bytes;
+  }
+  return 0;
+}
 double cpu_seconds() {
   rusage used{};
   getrusage(RUSAGE_SELF, &used);
@@ -155,13 +164,16 @@
     }
     print("router", ours);
     print("bare watch", plain);
-    const double idle = cpu_seconds();
-    std::this_thread::sleep_for(3s);
-    std::printf("  idle: %.2f%% of a core (stand-in included), progress asked %llu times\n",
-                (cpu_seconds() - idle) / 3 * 100,
-                static_cast<unsigned long long>(server.progress_asked.load()));
     context.TryCancel();
     reads.join();
+    const double idle = cpu_seconds();
+    const long long bytes = loopback_bytes();
+    const std::uint64_t asked = server.progress_asked;
+    std::this_thread::sleep_for(20s);
+    std::printf(
+        "  idle: %.2f%% of a core (stand-in included), progress asked %.2f times a second, %.2f MB an hour\n",
+        (cpu_seconds() - idle) / 20 * 100, static_cast<double>(server.progress_asked - asked) / 20,
+        static_cast<double>(loopback_bytes() - bytes) * 180 / 1e6);
   }
   io.stop();
   loop.join();
