--- a/cmake/fleet.cmake
+++ b/cmake/fleet.cmake
@@ -18,4 +18,20 @@
 # Many cores on virtual time: for tests, measurements and plots; nothing of the router links it.
 add_library(streampick_emulator STATIC EXCLUDE_FROM_ALL src/emulator/datagrams.cpp)
 target_link_libraries(streampick_emulator PUBLIC streampick_membership)
-list(APPEND streampick_parts streampick_membership streampick_emulator)
+# The shell on a socket, and what the host does with the view.
+add_library(streampick_fleet_parts STATIC src/fleet/fleet.cpp src/fleet/options.cpp src/membership/udp.cpp)
+target_link_libraries(streampick_fleet_parts PUBLIC streampick_membership streampick_net streampick_settings
+  streampick_options nlohmann_json::nlohmann_json)
+target_link_libraries(streampick_platform PUBLIC streampick_fleet_parts)
+target_compile_definitions(streampick_platform PUBLIC STREAMPICK_WITH_FLEET)
+set_target_properties(streampick_membership streampick_fleet_parts PROPERTIES POSITION_INDEPENDENT_CODE ON)
+if(STREAMPICK_RESP)
+  # Beds of processes, and the tool that plays them.
+  add_library(streampick_testbed STATIC EXCLUDE_FROM_ALL src/testbed/bed.cpp src/testbed/relay.cpp
+    src/testbed/script.cpp src/testbed/views.cpp)
+  target_link_libraries(streampick_testbed PUBLIC streampick_standin streampick_membership streampick_options)
+  add_executable(streampick_fleet tools/fleet.cpp)
+  target_link_libraries(streampick_fleet PRIVATE streampick_testbed CLI11::CLI11)
+  list(APPEND streampick_parts streampick_testbed streampick_fleet)
+endif()
+list(APPEND streampick_parts streampick_fleet_parts streampick_membership streampick_emulator)
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -1,6 +1,7 @@
 #include "daemon/host.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "net/log.h"
@@ -51,6 +52,15 @@
     throw options::Error(options.file + ": roster.etcd: not in this build (STREAMPICK_ETCD)");
   begin(own);
 #endif
+#ifdef STREAMPICK_WITH_FLEET
+  if (options.fleet.on) {
+    fleet_ = std::make_unique<fleet::Fleet>(
+        io_, clock_, options.fleet, own.settings.seed ^ std::random_device{}(), own.settings.config.routers,
+        fleet::Fleet::Hooks{[this](std::uint32_t routers) { engine_->set_routers(routers); },
+                            [](std::string_view text) { log(text); }});
+    operators_->set_fleet({[this] { return fleet_->view(); }, [this] { return fleet_->brief(); }});
+  }
+#endif
 #ifdef STREAMPICK_WITH_RESP
   if (!options.resp.front) return;
   resp_ = std::make_unique<resp::RespFront>(io_, clock_, names_, *engine_, options.resp.front->settings,
@@ -127,6 +137,9 @@
   resp_.reset();
 #endif
   operators_.reset();
+#ifdef STREAMPICK_WITH_FLEET
+  fleet_.reset();
+#endif
   http_.reset();
 #ifdef STREAMPICK_WITH_ETCD
   etcd_.reset();
@@ -135,6 +148,20 @@
   engine_.reset();
 }
 
+// Others hear of it first; when all is answered this router leaves them.
+void Host::drain(std::function<void()> done) {
+#ifdef STREAMPICK_WITH_FLEET
+  if (fleet_) {
+    fleet_->draining();
+    done = [this, done = std::move(done)] {
+      fleet_->leave();
+      done();
+    };
+  }
+#endif
+  engine_->drain(std::move(done));
+}
+
 // Two processes of one router may hold together what one may: each has half, and gives back what rests.
 void Host::share(bool alone) {
   const std::size_t whole = accepted_.memory_mb * (1024 * 1024 / 4);
@@ -187,6 +214,9 @@
   if (told.zones != names_.zones || told.kinds != names_.kinds || own.listen != accepted_.listen)
     log("reload: zones, kinds and the address of clients are taken at the next start");
   engine_->reconfigure(own.settings.config, told.classes);
+#ifdef STREAMPICK_WITH_FLEET
+  if (fleet_) fleet_->set_constant(own.settings.config.routers);
+#endif
   names_.classes = engine_->classes().names();
   names_.tenants = told.tenants;
   names_.keyed.clear();
@@ -222,6 +252,9 @@
 #endif
 #ifdef STREAMPICK_WITH_ETCD
   if (etcd_) out += etcd_->summary();
+#endif
+#ifdef STREAMPICK_WITH_FLEET
+  if (fleet_) out += fleet_->summary();
 #endif
   return out + transports_->summary();
 }
--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -20,6 +20,9 @@
 #ifdef STREAMPICK_WITH_OPTIONS
 #include "platform/options.h"
 #endif
+#ifdef STREAMPICK_WITH_FLEET
+#include "fleet/fleet.h"
+#endif
 #ifdef STREAMPICK_WITH_ETCD
 #include "roster/etcd/client.h"
 #include "roster/sources.h"
@@ -42,7 +45,7 @@
   ~Host();
 
   // Goes on accepting for a little, finishes what was taken, then calls `done`.
-  void drain(std::function<void()> done) { engine_->drain(std::move(done)); }
+  void drain(std::function<void()> done);
   // Takes what a running router can take from a new configuration: the address of discovery, classes,
   // tenants, attempts and what the decisions may do. One that can't be used is logged and turned down whole;
   // returns whether it was taken.
@@ -102,6 +105,9 @@
   void learn_from(const etcd::Options& options, std::uint64_t seed);
   std::unique_ptr<roster::Sources> sources_;
   std::unique_ptr<etcd::EtcdRoster> etcd_;
+#endif
+#ifdef STREAMPICK_WITH_FLEET
+  std::unique_ptr<fleet::Fleet> fleet_;
 #endif
   boost::asio::steady_timer summary_timer_;
   std::string last_summary_;
--- a/src/daemon/operators.cpp
+++ b/src/daemon/operators.cpp
@@ -94,6 +94,7 @@
   out.hosts_down = hosts.down;
   out.reconfig_ok = reconfig_ok_;
   out.reconfig_failed = reconfig_failed_;
+  if (fleet_.brief) out.fleet = fleet_.brief();
   return out;
 }
 
@@ -110,6 +111,8 @@
     case Kind::join:
       change([](control::Overrides& all) { all.send_clients_away(false); });
       return "ACK clients are taken\n";
+    case Kind::fleet:
+      return fleet_.view ? fleet_.view() + "\n--\n" : "NAK this router keeps no view of its fleet\n";
   }
   return "NAK\n";
 }
--- a/src/daemon/operators.h
+++ b/src/daemon/operators.h
@@ -32,6 +32,11 @@
 
   void ready() { ready_ = true; }
   void reconfigured(bool ok) { ++(ok ? reconfig_ok_ : reconfig_failed_); }
+  // What is told of the fleet: all, and in brief. Unset: no view is kept.
+  struct FleetTold {
+    std::function<std::string()> view, brief;
+  };
+  void set_fleet(FleetTold fleet) { fleet_ = std::move(fleet); }
   // The answer to a call, with the ends of its lines.
   std::string answer(const management::Call& call);
   management::Dump dump() const;
@@ -53,6 +58,7 @@
   std::function<void(bool)> alone_;
   boost::asio::steady_timer look_;
   std::unique_ptr<management::OperatorsFront> front_;
+  FleetTold fleet_;
   bool ready_ = false;
   std::uint64_t reconfig_ok_ = 0, reconfig_failed_ = 0;
 };
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -79,6 +79,17 @@
   settle();
 }
 
+void Engine::set_routers(std::uint32_t routers) {
+  if (routers == config_.routers) return;
+  catch_up();
+  Config next = config_;
+  next.routers = routers;
+  next.classes = classes_.rules();
+  router_->on_config(time_.now(), next);
+  config_.routers = routers;
+  settle();
+}
+
 void Engine::add(Front& front) {
   fronts_.push_back(&front);
   if (clients_away_) front.drain();
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -70,6 +70,8 @@
   // New settings: classes, tenants, attempts and what the module may do. Requests that are open keep the
   // rules that they were taken under. Throws std::invalid_argument, and then nothing has changed.
   void reconfigure(Config config, const std::vector<std::string>& class_names);
+  // Totals that all routers share are divided by so many from now on.
+  void set_routers(std::uint32_t routers);
   const ClassTable& classes() const { return classes_; }
 
   // ---- Operators
--- /dev/null
+++ b/src/fleet/fleet.cpp
@@ -0,0 +1,208 @@
+#include "fleet/fleet.h"
+
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+
+namespace streampick::fleet {
+
+using membership::Change;
+using membership::Counts;
+using membership::Member;
+using membership::Record;
+using membership::State;
+using nlohmann::ordered_json;
+
+namespace {
+
+constexpr int kLinesASecond = 5;
+constexpr std::uint64_t kProgram = 1;  // what kVersion says: raised with what routers must know of each other
+constexpr const char* kStates[] = {"alive", "suspect", "unreachable", "left"};
+constexpr const char* kWords[] = {"came",
+                                  "is suspected",
+                                  "is well after all",
+                                  "is unreachable",
+                                  "is back",
+                                  "has left",
+                                  "is forgotten",
+                                  "is a name that two processes have",
+                                  "takes a new boot",
+                                  "was not at work for a while"};
+
+std::string hex(std::uint64_t value) {
+  char out[17];
+  std::snprintf(out, sizeof out, "%016llx", static_cast<unsigned long long>(value));
+  return out;
+}
+
+}  // namespace
+
+Fleet::Fleet(boost::asio::io_context& io, node::TimeSource& time, const Options& options, std::uint64_t seed,
+             std::uint32_t constant, Hooks hooks)
+    : time_(time),
+      options_(options),
+      hooks_(std::move(hooks)),
+      count_(constant, options.hold),
+      told_(constant),
+      second_(io),
+      shell_(
+          io, time,
+          [&] {
+            membership::Settings core = options.core;
+            core.facts = facts(false);
+            return core;
+          }(),
+          options.udp, seed, [this](const Change& change) { heard(change); }) {
+  each_second();
+}
+
+membership::Facts Fleet::facts(bool draining) const {
+  return {{membership::kDraining, draining ? 1U : 0U}, {membership::kVersion, kProgram}};
+}
+
+void Fleet::draining() { shell_.say(facts(true)); }
+
+void Fleet::set_constant(std::uint32_t constant) {
+  count_.set_constant(constant);
+  told_ = 0;  // the engine has been given the constant
+  if (options_.count_routers) hooks_.routers(told_ = count_.value());
+}
+
+void Fleet::heard(const Change& change) {
+  if (++lines_ > kLinesASecond) {
+    ++unsaid_;
+    return;
+  }
+  std::string line = "fleet: " + change.name + " " + kWords[static_cast<std::size_t>(change.kind)];
+  if (change.address != 0)
+    line += " (" + membership::text_of(change.address) + ", boot " + hex(change.boot) + ")";
+  hooks_.log(line);
+}
+
+void Fleet::each_second() {
+  if (unsaid_ > 0) hooks_.log("fleet: " + std::to_string(unsaid_) + " more changes");
+  lines_ = unsaid_ = 0;
+  if (const std::string& why = shell_.why_closed(); why != was_closed_) {
+    if (!why.empty()) hooks_.log("fleet: no socket for the others: " + why);
+    was_closed_ = why;
+  }
+  look_at_roster();
+  const auto now = time_.now();
+  const std::uint32_t routers = count_.see(now, shell_.core().counts(now));
+  if (options_.count_routers && routers != told_) {
+    hooks_.log("fleet: totals are divided by " + std::to_string(routers) + " routers");
+    hooks_.routers(told_ = routers);
+  }
+  second_.expires_after(std::chrono::seconds(1));
+  second_.async_wait([this](const boost::system::error_code& cancelled) {
+    if (!cancelled) each_second();
+  });
+}
+
+void Fleet::look_at_roster() {
+  if (options_.roster_file.empty()) return;
+  std::ifstream in(options_.roster_file);
+  if (!in) return;
+  std::string text{std::istreambuf_iterator<char>(in), {}};
+  if (text == roster_seen_) return;
+  const bool first = roster_seen_.empty();
+  roster_seen_ = std::move(text);
+  if (first) return;  // what was read at the start
+  try {
+    std::vector<membership::Address> contacts = parse_roster(roster_seen_);
+    for (const std::string& seed : options_.seeds) contacts.push_back(parse_address(seed));
+    hooks_.log("fleet: " + std::to_string(contacts.size()) + " addresses of peers");
+    shell_.set_contacts(std::move(contacts));
+  } catch (const std::runtime_error& wrong) {
+    hooks_.log("fleet: " + options_.roster_file + ": the old addresses stay: " + wrong.what());
+  }
+}
+
+namespace {
+
+ordered_json counted(const Counts& counts, membership::Time now, std::uint32_t routers) {
+  ordered_json out;
+  out["alive"] = counts.alive;
+  out["suspect"] = counts.suspect;
+  out["unreachable"] = counts.unreachable;
+  out["left"] = counts.left;
+  out["least"] = counts.least;
+  out["most"] = counts.most;
+  out["seen"] = counts.seen;
+  out["settled"] = counts.settled;
+  out["unchanged_ms"] = (now - counts.unchanged_since) / 1'000;
+  out["routers"] = routers;
+  return out;
+}
+
+ordered_json told(const Record& record) {
+  ordered_json out;
+  out["name"] = record.name;
+  out["boot"] = hex(record.boot);
+  out["address"] = membership::text_of(record.address);
+  out["state"] = kStates[static_cast<std::size_t>(record.state)];
+  out["incarnation"] = record.incarnation;
+  out["draining"] = membership::fact(record, membership::kDraining) != 0;
+  return out;
+}
+
+}  // namespace
+
+std::string Fleet::brief() const {
+  const auto now = time_.now();
+  return counted(shell_.core().counts(now), now, count_.value()).dump();
+}
+
+std::string Fleet::view() const {
+  const auto now = time_.now();
+  const membership::Core& core = shell_.core();
+  const Counts counts = core.counts(now);
+  ordered_json out = counted(counts, now, count_.value());
+  out["digest"] = hex(counts.digest);
+  out["health"] = core.health();
+  out["open"] = shell_.open();
+  out["self"] = told(core.self());
+  out["members"] = ordered_json::array();
+  for (const auto& [boot, member] : core.table().all()) {
+    ordered_json one = told(member.record);
+    one["for_ms"] = (now - member.since) / 1'000;
+    out["members"].push_back(std::move(one));
+  }
+  const membership::Figures& figures = core.figures();
+  const membership::UdpShell::Counts& shell = shell_.counts();
+  ordered_json& told_figures = out["figures"];
+  for (std::size_t kind = 0; kind < membership::kKinds; ++kind) {
+    told_figures["sent"][membership::kKindNames[kind]] = shell.sent[kind];
+    told_figures["received"][membership::kKindNames[kind]] = shell.received[kind];
+  }
+  std::uint64_t unreadable = 0;
+  for (const std::uint64_t kind : shell.unreadable) unreadable += kind;
+  const std::pair<const char*, std::uint64_t> numbers[] = {{"bytes_sent", shell.bytes_sent},
+                                                           {"bytes_received", shell.bytes_received},
+                                                           {"longest", shell.longest},
+                                                           {"strangers", shell.strangers},
+                                                           {"unreadable", unreadable},
+                                                           {"over_budget", shell.over_budget},
+                                                           {"not_taken", shell.not_taken},
+                                                           {"too_long", shell.too_long},
+                                                           {"thrown_away", shell.thrown_away},
+                                                           {"probes", figures.probes},
+                                                           {"unanswered", figures.unanswered},
+                                                           {"repairs", figures.repairs},
+                                                           {"refutations", figures.refutations},
+                                                           {"declared", figures.declared},
+                                                           {"stray", figures.stray},
+                                                           {"other_address", figures.other_address},
+                                                           {"no_room", figures.no_room}};
+  for (const auto& [name, number] : numbers) told_figures[name] = number;
+  return out.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+}
+
+std::string Fleet::summary() const {
+  const Counts counts = shell_.core().counts(time_.now());
+  return " fleet: alive=" + std::to_string(counts.alive) + " suspect=" + std::to_string(counts.suspect) +
+         " unreachable=" + std::to_string(counts.unreachable) + " least=" + std::to_string(counts.least) +
+         " most=" + std::to_string(counts.most) + " routers=" + std::to_string(count_.value());
+}
+
+}  // namespace streampick::fleet
--- /dev/null
+++ b/src/fleet/options.cpp
@@ -0,0 +1,167 @@
+#include "fleet/options.h"
+
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "net/tcp.h"
+#include "platform/node_settings.h"
+#include "settings/json_value.h"
+
+namespace streampick::fleet {
+
+using membership::Address;
+using membership::kSecond;
+using membership::udp;
+
+Address parse_address(const std::string& text) {
+  const auto endpoint = node::parse_endpoint(text);
+  if (!endpoint || endpoint->port() == 0) return 0;
+  return membership::address_of(udp::endpoint(endpoint->address(), endpoint->port()));
+}
+
+std::vector<Address> parse_roster(const std::string& text) {
+  std::vector<Address> out;
+  std::istringstream in(text);
+  std::string line;
+  for (int number = 1; std::getline(in, line); ++number) {
+    line.resize(std::min(line.size(), line.find('#')));
+    const std::size_t from = line.find_first_not_of(" \t\r");
+    if (from == std::string::npos) continue;
+    line = line.substr(from, line.find_last_not_of(" \t\r") - from + 1);
+    const Address address = parse_address(line);
+    if (address == 0)
+      throw std::runtime_error("line " + std::to_string(number) +
+                               ": expected ADDRESS:PORT, the address in numbers, not '" + line.substr(0, 60) +
+                               "'");
+    if (out.size() >= kMostContacts)
+      throw std::runtime_error("line " + std::to_string(number) + ": more than " +
+                               std::to_string(kMostContacts) + " addresses");
+    out.push_back(address);
+  }
+  return out;
+}
+
+Options read_options(options::Table table) {
+  Options out;
+  out.on = true;
+  table.text("listen", out.listen, 64);
+  table.text("advertise", out.advertise, 64);
+  for (const auto& [key, text] : {std::pair("listen", &out.listen), std::pair("advertise", &out.advertise)})
+    if (!text->empty() && parse_address(*text) == 0)
+      table.wrong(key, "expected ADDRESS:PORT, an IPv4 address in numbers");
+  table.text("name", out.udp.fleet, 64);
+  table.texts("seeds", out.seeds);
+  if (out.seeds.size() > 64) table.wrong("seeds", "expected at most 64 addresses");
+  for (const std::string& seed : out.seeds)
+    if (parse_address(seed) == 0)
+      table.wrong("seeds", "expected ADDRESS:PORT, not '" + seed.substr(0, 60) + "'");
+  table.text("roster_file", out.roster_file, 4096);
+  std::string admit = "listed";
+  table.text("admit", admit);
+  if (admit != "listed" && admit != "any") table.wrong("admit", "expected \"listed\" or \"any\"");
+  out.udp.listed_only = admit == "listed";
+  table.integer("period_ms", out.core.period, 50, 60'000, 1'000);
+  out.core.answer_within = out.core.period * 3 / 10;
+  table.integer("answer_ms", out.core.answer_within, 10, 30'000, 1'000);
+  if (out.core.answer_within * 3 > out.core.period)
+    table.wrong("answer_ms", "expected at most a third of period_ms");
+  table.integer("datagram_bytes", out.core.datagram, 256, 1'200);
+  table.integer("helpers", out.core.helpers, 0, 16);
+  table.integer("unreachable_s", out.core.lifetimes.unreachable, 10, 86'400, kSecond);
+  std::int64_t datagrams = static_cast<std::int64_t>(out.udp.budget.datagrams),
+               bytes = static_cast<std::int64_t>(out.udp.budget.bytes);
+  table.integer("datagrams_per_s", datagrams, 10, 100'000);
+  table.integer("bytes_per_s", bytes, 4'096, 100'000'000);
+  out.udp.budget = {static_cast<double>(datagrams), static_cast<double>(bytes)};
+  table.yes("count_routers", out.count_routers);
+  table.integer("hold_ms", out.hold, 0, 3'600'000, 1'000);
+  table.no_others();
+  return out;
+}
+
+namespace {
+
+udp::endpoint to_udp(const std::string& text) {
+  const auto endpoint = node::parse_endpoint(text);
+  return {endpoint->address(), endpoint->port()};
+}
+
+// The platform's way: `peer_listen`, and `peers` by number.
+void take_peers(Options& options, const node::NodeSettings& settings, const JsonValue& config,
+                const std::string& file) {
+  const char* const expected = "an address and a port, as 10.0.0.4:7946";
+  const auto endpoint = [&](const JsonValue& value) {
+    const std::string text = value.text(expected);
+    if (parse_address(text) == 0) value.wrong(expected);
+    return to_udp(text);
+  };
+  options.udp.listen = endpoint(config.at("peer_listen", expected));
+  const auto peers = config.find("peers");
+  if (!peers)
+    throw options::Error(file + ": fleet: the platform's configuration has peer_listen and no peers");
+  for (const JsonValue& peer : peers->items("a list of addresses"))
+    options.udp.peers.push_back(endpoint(peer));
+  if (options.udp.peers.size() > kMostContacts) peers->wrong("at most 2048 addresses");
+  if (settings.settings.me >= options.udp.peers.size())
+    throw options::Error(file + ": fleet: the platform's peers are " +
+                         std::to_string(options.udp.peers.size()) + ", and this router's number is " +
+                         std::to_string(settings.settings.me));
+  options.core.self = membership::numbered(settings.settings.me);
+  for (std::uint32_t number = 0; number < options.udp.peers.size(); ++number)
+    options.core.contacts.push_back(membership::numbered(number));
+  options.core.datagram = 256;
+}
+
+}  // namespace
+
+void resolve(Options& options, const node::NodeSettings& settings, const std::string& file) {
+  if (!options.on) return;
+  if (!settings.settings.may_talk)
+    throw options::Error(
+        file + ": fleet: the platform's settings forbid talk between routers (PolicyLimits.PeerMessages)");
+  options.core.name = settings.name;
+  membership::Record self{1, settings.name, 1, 0, membership::State::alive, 0, 0, {}};
+  if (settings.name.empty() || !membership::fault(self).empty())
+    throw options::Error(
+        file + ": fleet: the platform's name of this router must be 1 to 32 letters, digits or signs");
+  options.core.contacts.clear();
+  options.udp.peers.clear();
+  const nlohmann::json document = parse_json(settings.text);
+  const JsonValue config(document);
+  if (options.listen.empty()) {
+    if (!config.find("peer_listen"))
+      throw options::Error(file + ": fleet.listen: it is missing, and the platform has no peer_listen");
+    try {
+      return take_peers(options, settings, config, file);
+    } catch (const JsonError& wrong) {
+      throw options::Error(file + ": fleet: the platform's configuration: " + wrong.what());
+    }
+  }
+  options.udp.listen = to_udp(options.listen);
+  options.core.self = parse_address(options.advertise.empty() ? options.listen : options.advertise);
+  if (options.udp.listen.address().is_unspecified() && options.advertise.empty())
+    throw options::Error(file + ": fleet.advertise: it is missing, and fleet.listen is every address");
+  for (const std::string& seed : options.seeds) options.core.contacts.push_back(parse_address(seed));
+  if (options.roster_file.empty()) return;
+  std::ifstream in(options.roster_file);
+  if (!in) throw options::Error(file + ": fleet.roster_file: '" + options.roster_file + "' can't be read");
+  try {
+    for (const Address address : parse_roster({std::istreambuf_iterator<char>(in), {}}))
+      options.core.contacts.push_back(address);
+  } catch (const std::runtime_error& wrong) {
+    throw options::Error(file + ": fleet.roster_file: " + options.roster_file + ": " + wrong.what());
+  }
+}
+
+std::string describe(const Options& options) {
+  if (!options.on) return "fleet: off\n";
+  std::ostringstream out;
+  out << "fleet: " << (options.listen.empty() ? "by the platform's peers" : "listens on " + options.listen)
+      << ", a probe each " << options.core.period / 1'000 << " ms, datagrams of at most "
+      << options.core.datagram << " bytes, at most " << options.udp.budget.datagrams << " a second\n";
+  return out.str();
+}
+
+}  // namespace streampick::fleet
--- a/src/management/dump.cpp
+++ b/src/management/dump.cpp
@@ -18,6 +18,7 @@
   out["hosts_down"] = dump.hosts_down;
   out["reconfig_ok"] = dump.reconfig_ok;
   out["reconfig_failed"] = dump.reconfig_failed;
+  if (!dump.fleet.empty()) out["fleet"] = nlohmann::ordered_json::parse(dump.fleet);
   // Names of classes come from a file: what is no UTF-8 in them must not stop the figures.
   return out.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
--- a/src/management/dump.h
+++ b/src/management/dump.h
@@ -15,6 +15,7 @@
   std::uint64_t inflight = 0;       // requests taken and not ended
   std::uint64_t hosts_listed = 0, hosts_down = 0;
   std::uint64_t reconfig_ok = 0, reconfig_failed = 0;
+  std::string fleet;  // JSON; empty: no view is kept
 };
 
 // One line of JSON, without its end.
--- a/src/membership/core.cpp
+++ b/src/membership/core.cpp
@@ -453,6 +453,7 @@
   doubts_.erase(boot);
   const Member* member = table_.find(boot);
   if (member == nullptr) return;
+  if (state == State::unreachable) ++figures_.declared;
   table_.set_state(boot, state, 0, now);
   spread(boot);
   living_.reset();
--- a/src/membership/core.h
+++ b/src/membership/core.h
@@ -65,7 +65,7 @@
 
 struct Figures {
   std::uint64_t probes = 0, unanswered = 0, asked_to_probe = 0, repairs = 0, refutations = 0,
-                false_alarms = 0;
+                declared = 0;       // declared: unreachable, by this router
   std::uint64_t stray = 0;          // answers to nothing that was asked, or too late
   std::uint64_t no_room = 0;        // records that the table had no place for
   std::uint64_t other_address = 0;  // messages whose sender says that it is elsewhere
--- /dev/null
+++ b/src/membership/udp.h
@@ -0,0 +1,93 @@
+// The fleet's view on a socket: the thin shell round the core. One UDP socket on the daemon's loop; datagrams
+// from whoever is no peer are dropped and counted, what is sent has a budget, and nothing here ever waits.
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "engine/time.h"
+#include "membership/budget.h"
+#include "membership/core.h"
+#include "membership/wire.h"
+
+namespace streampick::membership {
+
+using udp = boost::asio::ip::udp;
+
+Address address_of(const udp::endpoint& endpoint);  // 0: it is no IPv4
+std::string text_of(Address address);               // "10.0.0.4:7946", or "#3" of a number
+
+struct UdpSettings {
+  udp::endpoint listen;
+  std::string fleet;                 // its name; others' datagrams are not read
+  std::vector<udp::endpoint> peers;  // by number, this router among them; empty: addresses are told
+  bool listed_only = true;           // whether only contacts are peers
+  Budget::Limits budget;
+};
+
+class UdpShell {
+ public:
+  struct Counts {
+    std::array<std::uint64_t, kKinds> sent{}, received{};
+    std::uint64_t bytes_sent = 0, bytes_received = 0, longest = 0;
+    std::uint64_t strangers = 0;    // datagrams from addresses that are no peer
+    std::uint64_t over_budget = 0;  // not sent
+    std::uint64_t not_taken = 0;    // by the system: its buffer was full, or there was no way
+    std::uint64_t too_long = 0;     // never sent
+    std::uint64_t thrown_away = 0;  // what waited while this process slept
+    std::array<std::uint64_t, kUnreadableKinds> unreadable{};
+  };
+  using Report = std::function<void(const Change&)>;
+
+  // Where the address is in use, as in an upgrade, or no descriptor is to be had, it is tried again.
+  UdpShell(boost::asio::io_context& io, node::TimeSource& time, Settings core, UdpSettings settings,
+           std::uint64_t seed, Report report);
+  ~UdpShell();
+  UdpShell(const UdpShell&) = delete;
+  UdpShell& operator=(const UdpShell&) = delete;
+
+  void say(Facts facts);
+  void set_contacts(std::vector<Address> contacts);
+  // Tells the others, and closes.
+  void leave();
+  bool open() const { return socket_.is_open(); }
+  const std::string& why_closed() const { return why_closed_; }
+  const Core& core() const { return core_; }
+  const Counts& counts() const { return counts_; }
+
+ private:
+  void begin();
+  void wait();
+  void read();
+  void after();
+  bool is_peer(Address address) const;
+  Address from(const udp::endpoint& endpoint) const;
+  std::optional<udp::endpoint> to(Address address) const;
+
+  boost::asio::io_context& io_;
+  node::TimeSource& time_;
+  Core core_;
+  UdpSettings settings_;
+  Report report_;
+  Budget budget_;
+  udp::socket socket_;
+  boost::asio::steady_timer retry_;
+  std::unique_ptr<node::Timer> timer_;
+  std::map<udp::endpoint, std::uint32_t> numbers_;
+  std::vector<char> buffer_ = std::vector<char>(2'048);
+  std::string why_closed_;
+  bool over_ = false;
+  Counts counts_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace streampick::membership
--- a/src/options/table.cpp
+++ b/src/options/table.cpp
@@ -123,10 +123,10 @@
   if (node == nullptr) return out;
   const toml::array* all = node->as_array();
   if (all == nullptr) wrong(key, "expected tables");
+  const std::string path = impl_->path.empty() ? std::string(key) : impl_->path + "." + std::string(key);
   for (const toml::node& item : *all) {
     if (!item.is_table()) wrong(key, "expected tables");
-    out.push_back(Table(impl_->inner(
-        *item.as_table(), impl_->path + "." + std::string(key) + "[" + std::to_string(out.size()) + "]")));
+    out.push_back(Table(impl_->inner(*item.as_table(), path + "[" + std::to_string(out.size()) + "]")));
   }
   return out;
 }
--- a/src/platform/options.cpp
+++ b/src/platform/options.cpp
@@ -20,6 +20,9 @@
     if (auto etcd = roster->table("etcd")) out.etcd = etcd::read_options(std::move(*etcd));
     roster->no_others();
   }
+#ifdef STREAMPICK_WITH_FLEET
+  if (auto fleet = root.table("fleet")) out.fleet = fleet::read_options(std::move(*fleet));
+#endif
 #ifdef STREAMPICK_WITH_RESP
   if (auto resp = root.table("resp")) out.resp = resp::read_options(std::move(*resp));
 #endif
@@ -47,6 +50,9 @@
   for (const std::string& name : options.overload.spared)
     if (index_of(node.settings.names.classes, name) == kNone)
       throw options::Error(options.file + ": overload.spared: the platform has no class " + name);
+#ifdef STREAMPICK_WITH_FLEET
+  fleet::resolve(options.fleet, node, options.file);
+#endif
 #ifdef STREAMPICK_WITH_RESP
   const auto limits = descriptor_limits(node);
   resp::resolve(options.resp, node.settings, options.file, limits.total - limits.servers_floor);
@@ -65,6 +71,11 @@
   if (!options.grpc.routes.empty())
     out << "grpc: " << options.grpc.routes.size() << " routes, for programs on the client library\n";
   out << etcd::describe(options.etcd);
+#ifdef STREAMPICK_WITH_FLEET
+  out << fleet::describe(options.fleet);
+#else
+  out << "fleet: not in this build (STREAMPICK_FLEET)\n";
+#endif
 #ifdef STREAMPICK_WITH_RESP
   out << resp::describe(options.resp);
 #else
--- a/src/platform/options.h
+++ b/src/platform/options.h
@@ -4,6 +4,9 @@
 
 #include <string>
 
+#ifdef STREAMPICK_WITH_FLEET
+#include "fleet/options.h"
+#endif
 #include "grpc/options.h"
 #include "options/table.h"
 #include "overload/settings.h"
@@ -20,6 +23,9 @@
   overload::Settings overload;
   rpc::Options grpc;  // checked only
   etcd::Options etcd;
+#ifdef STREAMPICK_WITH_FLEET
+  fleet::Options fleet;
+#endif
 #ifdef STREAMPICK_WITH_RESP
   resp::Options resp;
 #endif
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -43,7 +43,9 @@
   std::uint64_t seed = 0;
   Config config;
   Names names;
-  Time drain_grace = 0;  // nothing new goes to a departing server later than this after the news
+  bool may_talk = false;  // whether routers may send one another datagrams
+  std::uint32_t me = 0;   // this router's number among them
+  Time drain_grace = 0;   // nothing new goes to a departing server later than this after the news
 };
 
 // Both throw SettingsError. check_usable() says what a router would refuse to be made with, by its path.
--- /dev/null
+++ b/src/testbed/script.h
@@ -0,0 +1,66 @@
+// A script for a bed of processes: steps one after the other, each an action or something to wait for or to
+// hold. TOML; every mistake is one line with file, line and key.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "testbed/faults.h"
+
+namespace streampick::testbed {
+
+struct Step {
+  enum class Do : std::uint8_t {
+    kill,       // SIGKILL
+    stop,       // SIGSTOP
+    go_on,      // SIGCONT
+    terminate,  // SIGTERM, and waits for its end
+    start,      // another process in its place
+    restart,    // kill and start at once
+    cut,        // between the groups; one way: only from the first to the others
+    heal,       // no faults any more
+    link,       // loss and so on, between all or from `who`
+    wait,       // for something, or for a number of periods
+    mark,       // what is counted since, is counted from here
+    expect,     // something that must be so now
+  };
+  enum class What : std::uint8_t {
+    none,
+    settled,     // all that run hold the same view, with exactly those that run alive
+    sees,        // each of `who` counts `number` alive
+    never_lost,  // since the last `mark` no router declared more than `number` others unreachable
+    quiet,       // bytes a process a second since the last `mark` are at most `number`
+    answered,    // every request of the load had its one final answer
+    routers,     // each of `who` divides totals by `number`
+  };
+  Do action = Do::wait;
+  What what = What::none;
+  std::vector<std::size_t> who;                  // empty: all
+  std::vector<std::vector<std::size_t>> groups;  // of a cut
+  bool one_way = false;
+  Link link;
+  double periods = 0;  // to wait, or the longest to wait for
+  double number = 0;
+};
+
+struct Script {
+  std::string file;
+  std::size_t routers = 12, caches = 2;
+  std::uint64_t seed = 1;
+  std::int64_t period_ms = 200;
+  std::size_t datagram = 256;
+  bool numbered = true;       // by the platform's peers; else by addresses and seeds
+  double requests_per_s = 0;  // of load; 0: none
+  std::int64_t unreachable_s = 600, hold_ms = 1'000;
+  std::vector<Step> steps;
+};
+
+// Both throw options::Error.
+Script read_script(const std::string& text, const std::string& file);
+Script load_script(const std::string& file);
+
+// "0-4,7" for routers; throws std::runtime_error.
+std::vector<std::size_t> parse_routers(const std::string& text, std::size_t routers);
+
+}  // namespace streampick::testbed
--- /dev/null
+++ b/src/testbed/views.h
@@ -0,0 +1,34 @@
+// The views of several routers, as FLEET tells them, side by side.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace streampick::testbed {
+
+struct View {
+  std::string name, boot, digest;
+  std::map<std::string, std::string> states;  // of the others, by boot
+  std::map<std::string, std::string> names;
+  std::size_t alive = 0, least = 0, most = 0, routers = 0, unreachable = 0;
+  std::uint64_t declared = 0;  // how many it has found unreachable since its start
+  std::uint64_t longest = 0;   // datagram
+  bool settled = false;
+};
+
+// Throws std::runtime_error where the text is no view.
+View read_view(const std::string& json);
+// Asks at an operators' address, "host:port". None: there is no answer in time, or no view.
+std::optional<View> ask_view(const std::string& address, std::chrono::milliseconds within);
+
+// Where these do not hold the same, and exactly each other as alive; a line each. Empty: they agree.
+std::vector<std::string> differences(const std::vector<View>& views);
+
+// One line a router, differences marked.
+std::string side_by_side(const std::vector<std::pair<std::string, std::optional<View>>>& views);
+
+}  // namespace streampick::testbed
--- /dev/null
+++ b/tests/fleet/parts_test.cpp
@@ -0,0 +1,338 @@
+// The parts round the view: the count that totals are divided by, the budget, the section of the options
+// file, scripts, the relay's faults, the socket.
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <fstream>
+#include <random>
+
+#include "fleet/fleet.h"
+#include "loopback.h"
+#include "membership/budget.h"
+#include "testbed/bed.h"
+#include "testbed/relay.h"
+#include "testbed/script.h"
+#include "testbed/views.h"
+
+namespace streampick::node::test {
+namespace {
+
+using namespace membership;
+using Datagram = membership::Message;
+using fleet::RouterCount;
+
+// At every instant it is no less than the most of the last `hold`, and no more than the most there ever was
+// in it or in the time before it was watched for so long.
+TEST(FleetRouterCount, IsTheMostOfTheLastHold) {
+  rc::check([](std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    const Time hold = 10 * kSecond;
+    RouterCount count(12, hold);
+    std::vector<std::pair<Time, std::uint32_t>> all;
+    Time now = 1'000 * kSecond;
+    bool settled = false;
+    for (int i = 0; i < 200; ++i) {
+      now += static_cast<Time>(random() % (2 * kSecond));
+      Counts counts;
+      counts.alive = counts.most = 1 + random() % 20;
+      counts.settled = random() % 10 == 0;
+      settled = settled || (counts.settled && counts.alive > 1);
+      const auto most =
+          static_cast<std::uint32_t>(settled ? counts.most : std::max<std::size_t>(12, counts.most));
+      all.emplace_back(now, most);
+      std::uint32_t wanted = 0;
+      for (const auto& [time, seen] : all)
+        if (time >= now - hold) wanted = std::max(wanted, seen);
+      const std::uint32_t got = count.see(now, counts);
+      RC_ASSERT(got >= wanted);
+      if (now - all.front().first >= hold) RC_ASSERT(got == wanted);
+    }
+  });
+}
+
+TEST(FleetRouterCount, OneThatHasJustStartedDividesByTheSettingsCount) {
+  RouterCount count(300, kSecond);
+  Counts alone;
+  EXPECT_EQ(count.see(kSecond, alone), 300U);
+  EXPECT_EQ(count.see(60 * kSecond, alone), 300U);  // it never saw another: it may be the one that is cut off
+  Counts two;
+  two.alive = two.most = 2;
+  two.settled = true;
+  EXPECT_EQ(count.see(61 * kSecond, two), 300U);
+  EXPECT_EQ(count.see(63 * kSecond, two), 2U);
+  two.most = 5;
+  EXPECT_EQ(count.see(63 * kSecond + 1, two), 5U);  // more: at once
+}
+
+TEST(FleetBudget, NeverMoreThanASecondsWorthAheadAndAnswersLast) {
+  const Budget::Limits limits{100, 10'000};
+  Budget budget(limits);
+  std::map<Datagram::Kind, int> sent;
+  Time now = kSecond;
+  double datagrams = 0, bytes = 0;
+  for (int i = 0; i < 20'000; ++i) {
+    now += 500;  // 10 s in all
+    const auto kind = static_cast<Datagram::Kind>(i % kKinds);
+    if (!budget.take(now, kind, 150)) continue;
+    ++sent[kind];
+    datagrams += 1;
+    bytes += 150;
+    const double seconds = static_cast<double>(now - kSecond) / kSecond;
+    ASSERT_LE(datagrams, limits.datagrams * (1 + seconds));
+    ASSERT_LE(bytes, limits.bytes * (1 + seconds));
+  }
+  EXPECT_GT(sent[Datagram::Kind::answer], 3 * sent[Datagram::Kind::probe]);
+  EXPECT_GE(sent[Datagram::Kind::probe], sent[Datagram::Kind::ask_to_probe]);
+  EXPECT_GE(sent[Datagram::Kind::ask_to_probe], sent[Datagram::Kind::records]);
+  EXPECT_GE(sent[Datagram::Kind::records], sent[Datagram::Kind::tell]);
+}
+
+std::string error_of(const std::string& toml, bool may_talk = true, nlohmann::json also = {}) {
+  nlohmann::json config = config_json("127.0.0.1:9", list_json(1, true, {}));
+  config["settings"]["PolicyLimits"]["PeerMessages"] = may_talk;
+  config["name"] = "n1";
+  if (!also.is_null()) config.merge_patch(also);
+  try {
+    Options options = parse_options(toml, "o.toml");
+    NodeSettings settings = parse_settings(config.dump());
+    resolve(options, settings);
+  } catch (const options::Error& error) {
+    return error.what();
+  }
+  return "";
+}
+
+TEST(FleetOptions, AMistakeIsToldInOneLineWithFileLineAndKey) {
+  const std::string good = "[fleet]\nlisten = \"127.0.0.1:7946\"\n";
+  EXPECT_EQ(error_of(good), "");
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"[fleet]\n", "o.toml: fleet.listen: it is missing, and the platform has no peer_listen"},
+      {"[fleet]\nlisten = \"here:1\"\n",
+       "o.toml:2: fleet.listen: expected ADDRESS:PORT, an IPv4 address in numbers"},
+      {"[fleet]\nlisten = \"0.0.0.0:7946\"\n",
+       "o.toml: fleet.advertise: it is missing, and fleet.listen is every address"},
+      {good + "seeds = [\"x\"]\n", "o.toml:3: fleet.seeds: expected ADDRESS:PORT, not 'x'"},
+      {good + "period_ms = 10\n", "o.toml:3: fleet.period_ms: expected a whole number from 50 to 60000"},
+      {good + "answer_ms = 500\n", "o.toml:3: fleet.answer_ms: expected at most a third of period_ms"},
+      {good + "datagram_bytes = 2000\n",
+       "o.toml:3: fleet.datagram_bytes: expected a whole number from 256 to 1200"},
+      {good + "admit = \"all\"\n", "o.toml:3: fleet.admit: expected \"listed\" or \"any\""},
+      {good + "unreachable_s = 1\n",
+       "o.toml:3: fleet.unreachable_s: expected a whole number from 10 to 86400"},
+      {good + "bytes_per_s = 1\n",
+       "o.toml:3: fleet.bytes_per_s: expected a whole number from 4096 to 100000000"},
+      {good + "roster_file = \"/nowhere\"\n", "o.toml: fleet.roster_file: '/nowhere' can't be read"},
+      {good + "gossip = true\n", "o.toml:3: fleet.gossip: there is no such key"},
+  };
+  for (const auto& [toml, error] : cases) EXPECT_EQ(error_of(toml), error) << toml;
+  EXPECT_EQ(error_of(good, false),
+            "o.toml: fleet: the platform's settings forbid talk between routers (PolicyLimits.PeerMessages)");
+  const nlohmann::json peers = {{"peer_listen", "127.0.0.1:1"}, {"peers", {"127.0.0.1:2", "127.0.0.1:3"}}};
+  EXPECT_EQ(error_of("[fleet]\n", true, peers), "");
+  nlohmann::json wrong = peers;
+  wrong["settings"]["Me"] = 2;
+  EXPECT_EQ(error_of("[fleet]\n", true, wrong),
+            "o.toml: fleet: the platform's peers are 2, and this router's number is 2");
+  wrong = peers;
+  wrong["peers"][1] = "x";
+  EXPECT_EQ(error_of("[fleet]\n", true, wrong),
+            "o.toml: fleet: the platform's configuration: peers[1]: there is \"x\", expected an address and "
+            "a port, as 10.0.0.4:7946");
+  EXPECT_EQ(error_of(good, true, {{"name", "a b"}}),
+            "o.toml: fleet: the platform's name of this router must be 1 to 32 letters, digits or signs");
+}
+
+TEST(FleetOptions, ARosterFileIsAnAddressALine) {
+  EXPECT_EQ(fleet::parse_roster("# peers\n10.0.0.1:7946\n\n  10.0.0.2:1 # two\r\n").size(), 2U);
+  EXPECT_THROW(fleet::parse_roster("10.0.0.1:7946\nhost:1\n"), std::runtime_error);
+}
+
+TEST(FleetScript, AMistakeIsToldInOneLineWithFileLineAndKey) {
+  const std::string good = "routers = 4\n[[step]]\nwhat = \"settled\"\n";
+  EXPECT_EQ(testbed::read_script(good, "s.toml").steps.size(), 1U);
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"routers = 4\n", "s.toml:1: step: a script has one step at least"},
+      {good + "[[step]]\ndo = \"explode\"\n",
+       "s.toml:5: step[1].do: expected one of continue, cut, expect, heal, kill, link, mark, restart, start, "
+       "stop, "
+       "terminate, wait, not 'explode'"},
+      {good + "[[step]]\ndo = \"kill\"\nwho = \"1-4\"\n",
+       "s.toml:6: step[1].who: expected numbers of routers from 0 to 3, as 0-4,7, not '1-4'"},
+      {good + "[[step]]\ndo = \"cut\"\ngroups = [\"0\"]\n",
+       "s.toml:6: step[1].groups: a cut is between two groups or more"},
+      {good + "[[step]]\ndo = \"expect\"\n", "s.toml:4: step[1].what: it is missing"},
+      {good + "[[step]]\n", "s.toml:4: step[1].periods: a wait is for something, or for a number of periods"},
+      {good + "[[step]]\nloss = 2\n", "s.toml:5: step[1].loss: expected a number from 0 to 1"},
+      {good + "[[step]]\nperiod = 2\n",
+       "s.toml:4: step[1].periods: a wait is for something, or for a number of periods"},
+  };
+  for (const auto& [toml, error] : cases) {
+    try {
+      testbed::read_script(toml, "s.toml");
+      ADD_FAILURE() << toml;
+    } catch (const options::Error& wrong) {
+      EXPECT_EQ(wrong.what(), error);
+    }
+  }
+}
+
+TEST(FleetRelay, FaultsAreTheLinksOwnAndDrawnTheSameEachTime) {
+  const auto play = [] {
+    testbed::Faults faults(3, 5);
+    faults.link(0, 1).loss = 0.3;
+    faults.link(0, 2).cut = true;
+    faults.link(1, 0).twice = 1;
+    faults.link(2, 0).bytes_per_s = 1'000;
+    faults.link(2, 1).damaged = 1;
+    std::array<std::size_t, 4> passed{};
+    for (int i = 0; i < 1'000; ++i) {
+      std::string datagram(100, 'a');
+      passed[0] += faults.pass(0, 1, datagram, i).size();
+      passed[1] += faults.pass(0, 2, datagram, i).size();
+      passed[2] += faults.pass(1, 0, datagram, i).size();
+      passed[3] += faults.pass(2, 0, datagram, i).size();
+      EXPECT_EQ(datagram, std::string(100, 'a'));
+      EXPECT_EQ(faults.pass(2, 1, datagram, i).size(), 1U);
+      EXPECT_NE(datagram, std::string(100, 'a'));
+    }
+    return passed;
+  };
+  const auto passed = play();
+  EXPECT_NEAR(static_cast<double>(passed[0]), 700, 60);
+  EXPECT_EQ(passed[1], 0U);
+  EXPECT_EQ(passed[2], 2'000U);
+  EXPECT_EQ(passed[3], 10U);
+  EXPECT_EQ(play(), passed);
+}
+
+TEST(FleetViews, DifferencesAreToldByName) {
+  testbed::View one, other;
+  one.name = "n0", one.boot = "a", one.digest = "1", one.states = {{"b", "alive"}}, one.names = {{"b", "n1"}};
+  other.name = "n1", other.boot = "b", other.digest = "1", other.states = {{"a", "alive"}},
+  other.names = {{"a", "n0"}};
+  EXPECT_TRUE(testbed::differences({one, other}).empty());
+  other.digest = "2";
+  other.states["a"] = "unreachable";
+  const auto apart = testbed::differences({one, other});
+  EXPECT_EQ(apart, (std::vector<std::string>{"n1 holds another view than n0", "n1 holds n0 for unreachable",
+                                             "n1 counts 1 of 2"}));
+  EXPECT_EQ(testbed::differences({one}),
+            std::vector<std::string>{"n0 holds n1 for alive, which does not run"});
+}
+
+// --- The socket
+// ---------------------------------------------------------------------------------------------
+
+class FleetSocket : public Loopback {
+ protected:
+  static UdpSettings at_port(unsigned short port) {
+    UdpSettings out;
+    out.listen = {asio::ip::make_address("127.0.0.1"), port};
+    out.listed_only = false;
+    return out;
+  }
+  static membership::Settings core(const std::string& name, unsigned short port,
+                                   std::vector<Address> contacts) {
+    membership::Settings out;
+    out.name = name;
+    out.self = at(0x7f000001, port);
+    out.contacts = std::move(contacts);
+    out.period = 50'000;
+    out.answer_within = 15'000;
+    out.datagram = 256;
+    return out;
+  }
+  unsigned short free_port() {
+    udp::socket probe(io, {asio::ip::make_address("127.0.0.1"), 0});
+    return probe.local_endpoint().port();
+  }
+  std::vector<Change> changes;
+  UdpShell::Report report = [this](const Change& change) { changes.push_back(change); };
+};
+
+TEST_F(FleetSocket, TwoFindEachOtherAndOneThatLeavesIsHeardOfAtOnce) {
+  const auto one = free_port(), other = free_port();
+  UdpShell a(io, clock, core("a", one, {}), at_port(one), 1, report);
+  auto b = std::make_unique<UdpShell>(io, clock, core("b", other, {at(0x7f000001, one)}), at_port(other), 2,
+                                      report);
+  ASSERT_TRUE(wait_for(
+      [&] { return a.core().counts(clock.now()).alive == 2 && b->core().counts(clock.now()).alive == 2; }));
+  b->say({{kDraining, 1}});
+  ASSERT_TRUE(wait_for([&] { return fact(a.core().table().all().begin()->second.record, kDraining) == 1; }));
+  b->leave();
+  ASSERT_TRUE(wait_for([&] { return a.core().counts(clock.now()).left == 1; }));
+  EXPECT_EQ(a.core().figures().declared, 0U);
+  EXPECT_FALSE(b->open());
+}
+
+TEST_F(FleetSocket, BadBytesAreCountedByKindAndStrangersAreNotRead) {
+  const auto port = free_port(), peer = free_port();
+  UdpSettings settings = at_port(port);
+  settings.listed_only = true;
+  UdpShell shell(io, clock, core("a", port, {at(0x7f000001, peer)}), settings, 1, report);
+  udp::socket friendly(io, {asio::ip::make_address("127.0.0.1"), peer});
+  udp::socket strange(io, {asio::ip::make_address("127.0.0.1"), 0});
+  const udp::endpoint to(asio::ip::make_address("127.0.0.1"), port);
+  Datagram message;
+  message.self = {9, "peer", at(0x7f000001, peer), 0, State::alive, 0, 0, {}};
+  const std::string good = encode(message, "");
+  std::string version = good, damaged = good;
+  version[0] = 9;
+  damaged.back() = static_cast<char>(damaged.back() ^ 1);
+  friendly.send_to(asio::buffer(std::string(3, 'x')), to);
+  friendly.send_to(asio::buffer(version), to);
+  friendly.send_to(asio::buffer(damaged), to);
+  strange.send_to(asio::buffer(good), to);
+  ASSERT_TRUE(wait_for([&] { return shell.counts().strangers == 1; }));
+  const auto& unreadable = shell.counts().unreadable;
+  EXPECT_EQ(unreadable[static_cast<std::size_t>(Unreadable::size)], 1U);
+  EXPECT_EQ(unreadable[static_cast<std::size_t>(Unreadable::version)], 1U);
+  EXPECT_EQ(unreadable[static_cast<std::size_t>(Unreadable::checksum)], 1U);
+  EXPECT_EQ(shell.core().table().all().size(), 0U);
+  // One that says that it is elsewhere.
+  message.self.address = at(0x7f000001, 1);
+  friendly.send_to(asio::buffer(encode(message, "")), to);
+  ASSERT_TRUE(wait_for([&] { return shell.core().figures().other_address == 1; }));
+  friendly.send_to(asio::buffer(good), to);
+  ASSERT_TRUE(wait_for([&] { return shell.core().table().all().size() == 1; }));
+}
+
+TEST_F(FleetSocket, AnAddressThatIsStillInUseIsTakenWhenItIsFree) {
+  const auto port = free_port();
+  auto before = std::make_unique<UdpShell>(io, clock, core("a", port, {}), at_port(port), 1, report);
+  UdpShell next(io, clock, core("a", port, {}), at_port(port), 2, report);
+  EXPECT_FALSE(next.open());
+  EXPECT_FALSE(next.why_closed().empty());
+  before->leave();
+  ASSERT_TRUE(wait_for([&] { return next.open(); }));
+  EXPECT_TRUE(next.why_closed().empty());
+}
+
+TEST_F(FleetSocket, AFloodIsAnsweredWithinTheBudget) {
+  const auto port = free_port(), peer = free_port();
+  UdpSettings settings = at_port(port);
+  settings.budget = {50, 20'000};
+  UdpShell shell(io, clock, core("a", port, {}), settings, 1, report);
+  udp::socket flood(io, {asio::ip::make_address("127.0.0.1"), peer});
+  Datagram message;
+  message.self = {9, "peer", at(0x7f000001, peer), 0, State::alive, 0, 0, {}};
+  const Time begun = clock.now();
+  std::uint64_t asked = 0;
+  while (shell.counts().over_budget < 500) {
+    message.number = static_cast<std::uint32_t>(++asked);
+    flood.send_to(asio::buffer(encode(message, "")), {asio::ip::make_address("127.0.0.1"), port});
+    if (asked % 20 == 0) (void)wait_for([] { return true; });
+    clock.next_batch();
+    io.poll();
+    ASSERT_LT(asked, 1'000'000U);
+  }
+  std::uint64_t sent = 0;
+  for (const std::uint64_t kind : shell.counts().sent) sent += kind;
+  clock.next_batch();
+  const double seconds = static_cast<double>(clock.now() - begun) / kSecond;
+  EXPECT_LE(static_cast<double>(sent), 50 * (1 + seconds) + 1);
+}
+
+}  // namespace
+}  // namespace streampick::node::test
--- a/tests/plugin/client_test.cpp
+++ b/tests/plugin/client_test.cpp
@@ -308,10 +308,16 @@
   while (client.counts().rests == 0) std::this_thread::sleep_for(1ms);
   while (fleet.watches() > 0) std::this_thread::sleep_for(1ms);
   EXPECT_EQ(client.counts().connections, 0U);
-  std::this_thread::sleep_for(1'500ms);  // what the engine still looked at once a second has come
-  const std::uint64_t woken = client.counts().wakeups;
-  std::this_thread::sleep_for(1'500ms);
-  EXPECT_LE(client.counts().wakeups - woken, 1U);  // the asking itself
+  // What the engine still looked at once a second comes late on a busy machine: waited for is a stretch of a
+  // second and a half in which nothing but the asking itself wakes it. One that is woken each second never
+  // has such a one.
+  bool still = false;
+  for (int stretch = 0; stretch < 20 && !still; ++stretch) {
+    const std::uint64_t woken = client.counts().wakeups;
+    std::this_thread::sleep_for(1'500ms);
+    still = client.counts().wakeups - woken <= 1;
+  }
+  EXPECT_TRUE(still);
   // A server leaves while nobody here hears of it.
   fleet.tell_leaves(1);
   before[1] = fleet.requests_at(1);
--- /dev/null
+++ b/tools/fleet.cpp
@@ -0,0 +1,131 @@
+// streampick_fleet: the views of a fleet's routers side by side, whether they agree, and beds of processes
+// with faults between them.
+#include <signal.h>
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <thread>
+
+#include "options/table.h"
+#include "testbed/bed.h"
+#include "testbed/views.h"
+
+namespace {
+
+using namespace streampick;
+using namespace std::chrono_literals;
+constexpr int kBad = 2;
+
+std::vector<std::pair<std::string, std::optional<testbed::View>>> ask_all(
+    const std::vector<std::string>& addresses) {
+  std::vector<std::pair<std::string, std::optional<testbed::View>>> out;
+  for (const std::string& address : addresses) out.emplace_back(address, testbed::ask_view(address, 1s));
+  return out;
+}
+
+int watch(const std::vector<std::string>& addresses, bool once) {
+  for (;;) {
+    const std::string text = testbed::side_by_side(ask_all(addresses));
+    std::cout << (once ? "" : "\033[H\033[2J") << text << std::flush;
+    if (once) return 0;
+    std::this_thread::sleep_for(1s);
+  }
+}
+
+int agree(const std::vector<std::string>& addresses, double within_s) {
+  const auto end = std::chrono::steady_clock::now() + std::chrono::duration<double>(within_s);
+  for (;;) {
+    std::vector<testbed::View> views;
+    std::vector<std::string> apart;
+    for (const auto& [address, view] : ask_all(addresses)) {
+      if (view)
+        views.push_back(*view);
+      else
+        apart.push_back(address + " does not answer");
+    }
+    if (views.empty()) apart.push_back("nobody answers");
+    for (std::string& line : testbed::differences(views)) apart.push_back(std::move(line));
+    if (apart.empty()) {
+      std::cout << views.size() << " routers hold the same view\n";
+      return 0;
+    }
+    if (std::chrono::steady_clock::now() >= end) {
+      for (const std::string& line : apart) std::cout << line << '\n';
+      return 1;
+    }
+    std::this_thread::sleep_for(200ms);
+  }
+}
+
+int run(const std::string& file, const testbed::BedSettings& settings, const std::string& views, int plays) {
+  const testbed::Script script = testbed::load_script(file);
+  int failed = 0;
+  for (int play = 1; play <= plays; ++play) {
+    if (plays > 1) std::cout << "play " << play << '\n';
+    const testbed::Played played = testbed::play(script, settings, std::cout);
+    if (!views.empty()) std::ofstream(views) << testbed::to_csv(played.samples);
+    std::cout << (played.passed ? "passed" : "FAILED") << ": " << played.asked << " requests, " << played.lost
+              << " lost, longest datagram " << played.longest_datagram << " bytes\n";
+    for (const std::string& failure : played.failures) std::cerr << failure << '\n';
+    failed += played.passed ? 0 : 1;
+  }
+  return failed == 0 ? 0 : 1;
+}
+
+int plot(const std::string& views, const std::string& title) {
+  std::ifstream in(views);
+  if (!in) throw std::runtime_error(views + ": it can't be read");
+  std::cout << testbed::plot(testbed::from_csv({std::istreambuf_iterator<char>(in), {}}), title);
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  ::signal(SIGPIPE, SIG_IGN);
+  CLI::App app("A fleet of routers: its views, and beds of processes with faults.", "streampick_fleet");
+  app.require_subcommand(1);
+  std::vector<std::string> addresses;
+  bool once = false;
+  double within_s = 0;
+  std::string file, views, title = "Routers that each router counts as alive";
+  testbed::BedSettings settings{"build-full/streampick_router", ""};
+  int plays = 1;
+  CLI::App* watching =
+      app.add_subcommand("watch", "the views of routers side by side, at their operators' addresses");
+  watching->add_option("addresses", addresses, "HOST:PORT of each")->required();
+  watching->add_flag("--once", once, "say it once");
+  CLI::App* agreeing =
+      app.add_subcommand("agree", "exit code 0: all hold the same view, with each other alive");
+  agreeing->add_option("addresses", addresses, "HOST:PORT of each")->required();
+  agreeing->add_option("--within", within_s, "seconds to wait for it")->check(CLI::Range(0.0, 86'400.0));
+  CLI::App* running = app.add_subcommand("run", "play a script with real processes");
+  running->add_option("file", file, "the script (TOML)")->required();
+  running->add_option("--router", settings.router, "the router's program");
+  running->add_option("--logs", settings.logs, "a folder for the routers' logs");
+  running->add_option("--views", views, "a file for what each router counted over time");
+  running->add_option("--plays", plays, "how often")->check(CLI::Range(1, 1'000));
+  CLI::App* plotting = app.add_subcommand("plot", "an SVG of a file that --views wrote");
+  plotting->add_option("file", file, "the file")->required();
+  plotting->add_option("--title", title, "above it");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::Success& asked) {
+    return app.exit(asked);
+  } catch (const CLI::ParseError& error) {
+    std::cerr << "streampick_fleet: " << error.what() << '\n';
+    return kBad;
+  }
+  try {
+    if (*watching) return watch(addresses, once);
+    if (*agreeing) return agree(addresses, within_s);
+    if (*running) return run(file, settings, views, plays);
+    return plot(file, title);
+  } catch (const std::exception& wrong) {
+    std::cerr << "streampick_fleet: " << wrong.what() << '\n';
+    return kBad;
+  }
+}
