--- /dev/null
+++ b/bench/membership/membership.cpp
@@ -0,0 +1,94 @@
+// What the fleet's view costs and how long it takes: datagrams, bytes, processor time and memory of one
+// router, and the times of the design's bounds beside what was measured. On virtual time, one process;
+// bench_membership [MEMBERS ...]
+#include <malloc.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+
+#include "emulator/datagrams.h"
+#include "membership/bounds.h"
+
+namespace {
+
+using namespace streampick;
+using membership::kSecond;
+
+double cpu_seconds() {
+  timespec used{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+  return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) / 1e9;
+}
+
+struct Cost {
+  double datagrams = 0, bytes = 0, cpu = 0;  // each a second and router; cpu: us
+};
+
+Cost cost_of(emulator::Datagrams& net, std::size_t routers, double seconds) {
+  const auto before = net.sent();
+  const double cpu = cpu_seconds();
+  net.run_for(static_cast<membership::Time>(seconds * kSecond));
+  const auto after = net.sent();
+  const double each = seconds * static_cast<double>(routers);
+  return {static_cast<double>(after.all() - before.all()) / each,
+          static_cast<double>(after.bytes - before.bytes) / each, 1e6 * (cpu_seconds() - cpu) / each};
+}
+
+double settle(emulator::Datagrams& net, std::size_t datagram, std::size_t living) {
+  std::size_t events = 0;
+  const std::size_t each = net.size() > 50 ? 20 * net.size() : 1;
+  const auto from = net.now();
+  const auto most =
+      static_cast<membership::Time>(membership::settle_periods(net.size(), datagram, 0, living) * kSecond);
+  const bool settled = net.run_until([&] { return ++events % each == 0 && net.settled(); }, most);
+  const double took = static_cast<double>(net.now() - from) / kSecond;
+  return settled ? took : -took;
+}
+
+void measure(std::size_t routers, std::size_t datagram) {
+  const std::size_t before = mallinfo2().uordblks;
+  emulator::Datagrams net(7);
+  net.settings.datagram = datagram;
+  net.add_many(routers);
+  for (std::size_t i = 0; i < routers; ++i) net.start(i);
+  const double joined = settle(net, datagram, routers);
+  net.run_for(30 * kSecond);
+  const double memory = static_cast<double>(mallinfo2().uordblks - before) / static_cast<double>(routers);
+  const Cost rest = cost_of(net, routers, 30);
+  const std::size_t half = routers / 2;
+  for (std::size_t i = 0; i < half; ++i) net.kill(i);
+  const Cost change = cost_of(net, routers - half, 10);
+  const double lost = 10 + settle(net, datagram, routers - half);
+  for (std::size_t i = 0; i < half; ++i) net.start(i);
+  const double back = settle(net, datagram, routers);
+  net.cut = [half](std::size_t from, std::size_t to) { return (from < half) != (to < half); };
+  net.run_for(30 * kSecond);
+  net.cut = [](std::size_t, std::size_t) { return false; };
+  const Cost healing = cost_of(net, routers, 2);
+  const double healed = 2 + settle(net, datagram, routers);
+  std::printf(
+      "| %zu, %zu | %.1f, %.0f | %.1f, %.0f | %.1f, %.0f | %.0f, %.0f | %.0f | %.1f | %.1f | %.1f | %.1f | "
+      "%.0f |\n",
+      routers, datagram, rest.datagrams, rest.bytes, change.datagrams, change.bytes, healing.datagrams,
+      healing.bytes, rest.cpu, change.cpu, memory / 1024, joined, lost, back, healed,
+      membership::settle_periods(routers, datagram));
+  std::fflush(stdout);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::printf(
+      "| routers, bytes a datagram | datagrams, bytes/s at rest | while half is lost | while two halves heal "
+      "| CPU us/s at "
+      "rest, in change | memory KiB | joined | half lost known | back | healed | bound |\n| --- | --- | --- "
+      "| --- | --- | "
+      "--- | --- | --- | --- | --- | --- |\n");
+  for (int i = 1; i < argc || i == 1; ++i) {
+    const std::size_t routers = argc > 1 ? static_cast<std::size_t>(std::atol(argv[i])) : 300;
+    for (const std::size_t datagram : {256, 1'200}) measure(routers, datagram);
+  }
+  return 0;
+}
--- a/bench/overload/overload.cpp
+++ b/bench/overload/overload.cpp
@@ -15,11 +15,14 @@
 #include <thread>
 
 #include "open_load.h"
-#include "plot.h"
 #include "standin/http_cache.h"
 #include "standin/platform.h"
+#include "testbed/chart.h"
 
 namespace streampick::bench {
+using testbed::Line;
+using testbed::line_chart;
+
 namespace {
 
 constexpr std::size_t kCaches = 8, kSlots = 4;
--- a/cmake/fleet.cmake
+++ b/cmake/fleet.cmake
@@ -27,8 +27,8 @@
 set_target_properties(streampick_membership streampick_fleet_parts PROPERTIES POSITION_INDEPENDENT_CODE ON)
 if(STREAMPICK_RESP)
   # Beds of processes, and the tool that plays them.
-  add_library(streampick_testbed STATIC EXCLUDE_FROM_ALL src/testbed/bed.cpp src/testbed/relay.cpp
-    src/testbed/script.cpp src/testbed/views.cpp)
+  add_library(streampick_testbed STATIC EXCLUDE_FROM_ALL src/testbed/bed.cpp src/testbed/chart.cpp src/testbed/relay.cpp
+    src/testbed/script.cpp src/testbed/stream_relay.cpp src/testbed/views.cpp)
   target_link_libraries(streampick_testbed PUBLIC streampick_standin streampick_membership streampick_options)
   add_executable(streampick_fleet tools/fleet.cpp)
   target_link_libraries(streampick_fleet PRIVATE streampick_testbed CLI11::CLI11)
--- a/src/testbed/bed.cpp
+++ b/src/testbed/bed.cpp
@@ -1,12 +1,16 @@
 #include "testbed/bed.h"
 
+#include <fcntl.h>
 #include <signal.h>
+#include <sys/file.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 #include <cmath>
+#include <filesystem>
 #include <future>
 #include <map>
 #include <ostream>
@@ -15,10 +19,13 @@
 #include <thread>
 
 #include "membership/bounds.h"
+#include "net/tcp.h"
 #include "standin/http_cache.h"
 #include "standin/http_client.h"
 #include "standin/platform.h"
+#include "testbed/chart.h"
 #include "testbed/relay.h"
+#include "testbed/stream_relay.h"
 #include "testbed/views.h"
 
 namespace streampick::testbed {
@@ -35,23 +42,54 @@
 
 std::string local(unsigned short port) { return "127.0.0.1:" + std::to_string(port); }
 
-// Ports that are free, all different: each is held until all are known.
-struct Ports {
+// Ports that are free, from a block that no other bed on this machine has, and below those that the system
+// gives to connections: a router that is started again finds its own free.
+class Ports {
+ public:
   Ports(asio::io_context& io, std::size_t count) {
-    std::vector<std::unique_ptr<tcp::acceptor>> held;
-    std::vector<std::unique_ptr<udp::socket>> held_too;
+    for (unsigned block = 0; block < kBlocks && lock_ < 0; ++block) {
+      const std::string name =
+          (std::filesystem::temp_directory_path() / ("streampick-bed-" + std::to_string(block) + ".lock"))
+              .string();
+      lock_ = ::open(name.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+      if (lock_ >= 0 && ::flock(lock_, LOCK_EX | LOCK_NB) != 0) {
+        ::close(lock_);
+        lock_ = -1;
+      }
+      next_ = static_cast<unsigned short>(kFirst + block * kBlock);
+    }
+    if (lock_ < 0) throw std::runtime_error("as many beds run on this machine as there are ports for");
+    const unsigned end = next_ + kBlock;
     const auto any = asio::ip::make_address("127.0.0.1");
-    for (std::size_t i = 0; i < count; ++i) {
-      for (auto* list : {&listen, &management}) {
-        held.push_back(std::make_unique<tcp::acceptor>(io, tcp::endpoint(any, 0)));
-        list->push_back(held.back()->local_endpoint().port());
+    const auto take = [&] {
+      for (; next_ < end; ++next_) {
+        boost::system::error_code error;
+        tcp::acceptor stream(io);
+        stream.open(tcp::v4());
+        stream.set_option(tcp::acceptor::reuse_address(true));
+        stream.bind({any, next_}, error);
+        udp::socket datagrams(io, udp::v4());
+        if (!error) datagrams.bind({any, next_}, error);
+        if (!error) return next_++;
       }
-      held_too.push_back(std::make_unique<udp::socket>(io, udp::endpoint(any, 0)));
-      peers.push_back(held_too.back()->local_endpoint());
+      throw std::runtime_error("too few free ports from " + std::to_string(kFirst) + " on");
+    };
+    for (std::size_t i = 0; i < count; ++i) {
+      listen.push_back(take());
+      management.push_back(take());
+      peers.emplace_back(any, take());
     }
   }
+  ~Ports() { ::close(lock_); }
+  Ports(const Ports&) = delete;
+  Ports& operator=(const Ports&) = delete;
   std::vector<unsigned short> listen, management;
   std::vector<udp::endpoint> peers;
+
+ private:
+  static constexpr unsigned kFirst = 20'000, kBlock = 1'000, kBlocks = 12;
+  int lock_ = -1;
+  unsigned short next_ = 0;
 };
 
 class Bed {
@@ -61,16 +99,25 @@
         settings_(settings),
         out_(out),
         ports_(io_, script.routers),
-        relay_(io_, ports_.peers, "bed", script.seed),
+        faults_(script.routers + script.caches + 1, script.seed),
+        relay_(io_, ports_.peers, "bed", faults_),
         origin_(io_, "tile"),
         processes_(script.routers),
         phases_(script.routers) {
     for (std::size_t i = 0; i < script.caches; ++i) {
       caches_.push_back(std::make_unique<standin::HttpCache>(io_, "tile"));
-      members_.push_back({"cache-" + std::to_string(i), caches_.back()->address()});
+      servers_.push_back({"cache-" + std::to_string(i), caches_.back()->address()});
+    }
+    servers_.push_back({"origin", origin_.address(), true});
+    for (std::size_t i = 0; i < script.routers; ++i) {
+      members_.push_back(servers_);
+      for (std::size_t k = 0; k < servers_.size(); ++k) {
+        streams_.push_back(std::make_unique<StreamRelay>(io_, faults_, i, script.routers + k,
+                                                         *node::parse_endpoint(servers_[k].address)));
+        members_.back()[k].address = streams_.back()->address();
+      }
+      discoveries_.push_back(std::make_unique<standin::StaticDiscovery>(io_, members_.back()));
     }
-    members_.push_back({"origin", origin_.address(), true});
-    discovery_ = std::make_unique<standin::StaticDiscovery>(io_, members_);
     thread_ = std::thread([this] { io_.run(); });
     began_ = Steady::now();
     for (std::size_t i = 0; i < script.routers; ++i) start(i);
@@ -139,8 +186,8 @@
 
   // --- Processes
   void start(std::size_t router) {
-    nlohmann::json config =
-        standin::router_config(local(ports_.listen[router]), discovery_->address(), members_, 128);
+    nlohmann::json config = standin::router_config(local(ports_.listen[router]),
+                                                   discoveries_[router]->address(), members_[router], 128);
     config["name"] = "n" + std::to_string(router);
     config["seed"] = std::to_string(script_.seed * 1'000 + router * 100 + ++starts_);
     config["management"] = local(ports_.management[router]);
@@ -211,7 +258,9 @@
     const auto all = views();
     for (std::size_t i = 0; i < all.size(); ++i) {
       if (phases_[i] != Phase::running) continue;
-      if (!all[i]) return "n" + std::to_string(i) + " does not answer";
+      if (!all[i])
+        return "n" + std::to_string(i) +
+               (processes_[i]->running() ? " does not answer" : " has ended by itself");
       there.push_back(*all[i]);
     }
     const std::vector<std::string> apart = differences(there);
@@ -312,18 +361,17 @@
     return wrong;
   }
   void set_links(const Step& step) {
-    Faults& faults = relay_.faults();
-    if (step.action == Step::Do::heal) return faults.clear();
-    if (step.action == Step::Do::link) {
+    const std::size_t all = script_.routers + script_.caches + 1;
+    if (step.action == Step::Do::heal) faults_.clear();
+    if (step.action == Step::Do::link)
       for (const std::size_t from : whom(step))
-        for (std::size_t to = 0; to < script_.routers; ++to) faults.link(from, to) = step.link;
-      return;
-    }
+        for (std::size_t to = 0; to < all; ++to) faults_.link(from, to) = step.link;
     for (std::size_t a = 0; a < step.groups.size(); ++a)
       for (std::size_t b = 0; b < step.groups.size(); ++b)
         for (const std::size_t from : step.groups[a])
           for (const std::size_t to : step.groups[b])
-            if (a != b && (!step.one_way || a == 0)) faults.link(from, to).cut = true;
+            if (a != b && (!step.one_way || a == 0)) faults_.link(from, to).cut = true;
+    for (const auto& stream : streams_) stream->links_changed();
   }
   std::string wait(const Step& step) {
     if (step.what == Step::What::none) {
@@ -394,11 +442,15 @@
   asio::io_context io_{1};
   asio::executor_work_guard<asio::io_context::executor_type> work_ = asio::make_work_guard(io_);
   Ports ports_;
+  Faults faults_;
   Relay relay_;
   std::vector<std::unique_ptr<standin::HttpCache>> caches_;
   standin::HttpCache origin_;
-  std::vector<standin::PlatformMember> members_;
-  std::unique_ptr<standin::StaticDiscovery> discovery_;
+  std::vector<standin::PlatformMember> servers_;
+  // Each router's own: its way to each server is an address of the relay's.
+  std::vector<std::vector<standin::PlatformMember>> members_;
+  std::vector<std::unique_ptr<StreamRelay>> streams_;
+  std::vector<std::unique_ptr<standin::StaticDiscovery>> discoveries_;
   std::vector<std::unique_ptr<standin::RouterProcess>> processes_;
   std::vector<std::atomic<Phase>> phases_;
   std::size_t starts_ = 0;
@@ -444,44 +496,20 @@
   return out;
 }
 
-// A line a router: where lines part, views do.
+// The least, the middle and the most of what routers count: where the lines part, the views do.
 std::string plot(const std::vector<Sample>& samples, const std::string& title) {
-  constexpr double kWidth = 900, kHeight = 360, kLeft = 50, kTop = 40, kRight = 20, kBottom = 45;
-  double most = 1, end = 1;
-  std::size_t routers = 0;
+  std::vector<Line> lines = {{"least", {}}, {"middle", {}}, {"most", {}}, {"routers that run", {}}};
   for (const Sample& sample : samples) {
-    end = std::max(end, sample.periods);
-    routers = std::max(routers, sample.alive.size());
-    for (const int alive : sample.alive) most = std::max(most, static_cast<double>(alive));
+    std::vector<int> there;
+    for (const int alive : sample.alive)
+      if (alive >= 0) there.push_back(alive);
+    if (there.empty()) continue;
+    std::sort(there.begin(), there.end());
+    const int values[] = {there.front(), there[there.size() / 2], there.back(),
+                          static_cast<int>(there.size())};
+    for (std::size_t i = 0; i < lines.size(); ++i) lines[i].points.emplace_back(sample.periods, values[i]);
   }
-  const auto x = [&](double periods) { return kLeft + periods / end * (kWidth - kLeft - kRight); };
-  const auto y = [&](double alive) { return kHeight - kBottom - alive / most * (kHeight - kTop - kBottom); };
-  std::ostringstream out;
-  out << "<svg xmlns=\"http://www.w3.org/2000/svg\" viewBox=\"0 0 " << kWidth << ' ' << kHeight
-      << "\" font-family=\"sans-serif\" font-size=\"12\">\n<rect width=\"100%\" height=\"100%\" "
-         "fill=\"white\"/>\n<text x=\""
-      << kLeft << "\" y=\"22\" font-size=\"15\">" << title << "</text>\n";
-  for (double tick = 0; tick <= most; tick += std::max(1.0, std::round(most / 6)))
-    out << "<line x1=\"" << kLeft << "\" x2=\"" << kWidth - kRight << "\" y1=\"" << y(tick) << "\" y2=\""
-        << y(tick) << "\" stroke=\"#ddd\"/><text x=\"" << kLeft - 8 << "\" y=\"" << y(tick) + 4
-        << "\" text-anchor=\"end\">" << tick << "</text>\n";
-  for (int i = 0; i <= 6; ++i)
-    out << "<text x=\"" << x(end * i / 6) << "\" y=\"" << kHeight - 25 << "\" text-anchor=\"middle\">"
-        << std::round(end * i / 6) << "</text>\n";
-  out << "<text x=\"" << kWidth / 2 << "\" y=\"" << kHeight - 6
-      << "\" text-anchor=\"middle\">periods</text>\n";
-  for (std::size_t i = 0; i < routers; ++i) {
-    out << "<polyline fill=\"none\" stroke=\"hsl(" << 360 * i / routers
-        << ",65%,45%)\" stroke-width=\"1.5\" opacity=\"0.7\" points=\"";
-    // Side by side by a hair, so that equal ones can be told.
-    const double apart = (static_cast<double>(i) / static_cast<double>(routers) - 0.5) * 6;
-    for (const Sample& sample : samples)
-      if (i < sample.alive.size() && sample.alive[i] >= 0)
-        out << x(sample.periods) << ',' << y(sample.alive[i]) + apart << ' ';
-    out << "\"/>\n";
-  }
-  out << "</svg>\n";
-  return out.str();
+  return line_chart(title, "periods", "routers counted as alive", lines);
 }
 
 }  // namespace streampick::testbed
--- a/src/testbed/bed.h
+++ b/src/testbed/bed.h
@@ -32,7 +32,7 @@
 // Throws std::runtime_error when the bed can't be made. What each step came to is written to `out`.
 Played play(const Script& script, const BedSettings& settings, std::ostream& out);
 
-// The alive counts of all routers over time.
+// What routers count over time, as SVG.
 std::string plot(const std::vector<Sample>& samples, const std::string& title);
 std::string to_csv(const std::vector<Sample>& samples);
 std::vector<Sample> from_csv(const std::string& text);
--- a/bench/overload/plot.cpp
+++ b/src/testbed/chart.cpp
@@ -1,11 +1,11 @@
-#include "plot.h"
+#include "testbed/chart.h"
 
 #include <algorithm>
 #include <array>
 #include <cmath>
 #include <sstream>
 
-namespace streampick::bench {
+namespace streampick::testbed {
 namespace {
 
 constexpr double kWidth = 720, kHeight = 420, kLeft = 70, kRight = 150, kTop = 40, kBottom = 55;
@@ -61,4 +61,4 @@
   return out.str();
 }
 
-}  // namespace streampick::bench
+}  // namespace streampick::testbed
--- a/bench/overload/plot.h
+++ b/src/testbed/chart.h
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-namespace streampick::bench {
+namespace streampick::testbed {
 
 struct Line {
   std::string name;
@@ -15,4 +15,4 @@
 std::string line_chart(const std::string& title, const std::string& x, const std::string& y,
                        const std::vector<Line>& lines);
 
-}  // namespace streampick::bench
+}  // namespace streampick::testbed
--- a/src/testbed/relay.cpp
+++ b/src/testbed/relay.cpp
@@ -48,11 +48,11 @@
   std::array<char, 2'048> buffer{};
 };
 
-Relay::Relay(asio::io_context& io, std::vector<udp::endpoint> real, std::string fleet, std::uint64_t seed)
+Relay::Relay(asio::io_context& io, std::vector<udp::endpoint> real, std::string fleet, Faults& faults)
     : io_(io),
       real_(std::move(real)),
       fleet_(std::move(fleet)),
-      faults_(real_.size(), seed),
+      faults_(faults),
       counts_(real_.size() * real_.size()) {
   for (std::size_t i = 0; i < real_.size(); ++i) ports_.push_back(std::make_unique<Port>(*this, i));
 }
--- a/src/testbed/relay.h
+++ b/src/testbed/relay.h
@@ -24,14 +24,13 @@
   // `real`: where each process listens; `fleet`: the name that its datagrams are read by, to tell their
   // kinds.
   Relay(boost::asio::io_context& io, std::vector<boost::asio::ip::udp::endpoint> real, std::string fleet,
-        std::uint64_t seed);
+        Faults& faults);
   ~Relay();
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
 
   // Where a process is reached by the others.
   std::string address(std::size_t process) const;
-  Faults& faults() { return faults_; }
   // What one sent to another, whether or not it arrived.
   const Count& count(std::size_t from, std::size_t to) const { return counts_[from * real_.size() + to]; }
   std::uint64_t strangers() const { return strangers_; }
@@ -42,7 +41,7 @@
   boost::asio::io_context& io_;
   std::vector<boost::asio::ip::udp::endpoint> real_;
   std::string fleet_;
-  Faults faults_;
+  Faults& faults_;
   std::vector<std::unique_ptr<Port>> ports_;
   std::vector<Count> counts_;
   std::uint64_t strangers_ = 0;
--- a/src/testbed/script.cpp
+++ b/src/testbed/script.cpp
@@ -39,17 +39,18 @@
   Step out;
   out.action = one_of(table, "do", kActions, Step::Do::wait);
   out.what = one_of(table, "what", kThings, Step::What::none);
-  const auto routers = [&](const char* key, const std::string& text) {
+  const bool links = out.action == Step::Do::cut || out.action == Step::Do::link;
+  const auto processes = [&](const char* key, const std::string& text) {
     try {
-      return parse_routers(text, script.routers);
+      return parse_processes(text, script.routers, links ? script.caches : 0);
     } catch (const std::runtime_error& wrong) {
       table.wrong(key, wrong.what());
     }
   };
-  if (std::string who; table.text("who", who)) out.who = routers("who", who);
+  if (std::string who; table.text("who", who)) out.who = processes("who", who);
   std::vector<std::string> groups;
   table.texts("groups", groups);
-  for (const std::string& group : groups) out.groups.push_back(routers("groups", group));
+  for (const std::string& group : groups) out.groups.push_back(processes("groups", group));
   if (out.action == Step::Do::cut && out.groups.size() < 2)
     table.wrong("groups", "a cut is between two groups or more");
   table.yes("one_way", out.one_way);
@@ -70,24 +71,32 @@
 
 }  // namespace
 
-std::vector<std::size_t> parse_routers(const std::string& text, std::size_t routers) {
+std::vector<std::size_t> parse_processes(const std::string& text, std::size_t routers, std::size_t caches) {
   std::vector<std::size_t> out;
   const auto wrong = [&] {
     throw std::runtime_error("expected numbers of routers from 0 to " + std::to_string(routers - 1) +
-                             ", as 0-4,7, not '" + text.substr(0, 40) + "'");
+                             ", as 0-4,7" + (caches > 0 ? ", caches as c0-1, or origin" : "") + ", not '" +
+                             text.substr(0, 40) + "'");
   };
   for (std::size_t from = 0; from <= text.size();) {
     const std::size_t end = std::min(text.find(',', from), text.size());
-    const std::string part = text.substr(from, end - from);
+    std::string part = text.substr(from, end - from);
+    from = end + 1;
+    if (caches > 0 && part == "origin") {
+      out.push_back(routers + caches);
+      continue;
+    }
+    const bool cache = caches > 0 && part.rfind('c', 0) == 0;
+    if (cache) part.erase(0, 1);
     std::size_t first = 0, last = 0;
     const char* stop = part.data() + part.size();
     auto read = std::from_chars(part.data(), stop, first);
     if (read.ec != std::errc{}) wrong();
     last = first;
     if (read.ptr != stop && *read.ptr == '-') read = std::from_chars(read.ptr + 1, stop, last);
-    if (read.ec != std::errc{} || read.ptr != stop || last < first || last >= routers) wrong();
-    for (; first <= last; ++first) out.push_back(first);
-    from = end + 1;
+    if (read.ec != std::errc{} || read.ptr != stop || last < first || last >= (cache ? caches : routers))
+      wrong();
+    for (; first <= last; ++first) out.push_back(cache ? routers + first : first);
   }
   return out;
 }
--- a/src/testbed/script.h
+++ b/src/testbed/script.h
@@ -36,7 +36,8 @@
   };
   Do action = Do::wait;
   What what = What::none;
-  std::vector<std::size_t> who;                  // empty: all
+  // Routers from 0 on, behind them caches and the origin.
+  std::vector<std::size_t> who;                  // empty: all routers
   std::vector<std::vector<std::size_t>> groups;  // of a cut
   bool one_way = false;
   Link link;
@@ -60,7 +61,7 @@
 Script read_script(const std::string& text, const std::string& file);
 Script load_script(const std::string& file);
 
-// "0-4,7" for routers; throws std::runtime_error.
-std::vector<std::size_t> parse_routers(const std::string& text, std::size_t routers);
+// "0-4,7" for routers, "c0-1" for caches, "origin"; throws std::runtime_error. `caches` 0: only routers.
+std::vector<std::size_t> parse_processes(const std::string& text, std::size_t routers, std::size_t caches);
 
 }  // namespace streampick::testbed
--- a/tests/fleet/parts_test.cpp
+++ b/tests/fleet/parts_test.cpp
@@ -13,6 +13,7 @@
 #include "testbed/bed.h"
 #include "testbed/relay.h"
 #include "testbed/script.h"
+#include "testbed/stream_relay.h"
 #include "testbed/views.h"
 
 namespace streampick::node::test {
@@ -206,6 +207,49 @@
   EXPECT_EQ(play(), passed);
 }
 
+class FleetStream : public Loopback {};
+
+TEST_F(FleetStream, ACutIsSilentAndItsConnectionsAreResetWhenTheLinkIsBack) {
+  FakeServer server(io, [](const std::string&) { return response(200, "x"); });
+  testbed::Faults faults(2, 1);
+  testbed::StreamRelay relay(io, faults, 0, 1, server.endpoint());
+  const auto connect = [&] {
+    tcp::socket socket(io);
+    socket.connect(*parse_endpoint(relay.address()));
+    auto peer = std::make_shared<Peer>(std::move(socket));
+    peer->read([](Peer&) {});
+    return peer;
+  };
+  const std::string ask = "GET / HTTP/1.1\r\n\r\n";
+  const auto before = connect();
+  before->write(ask);
+  ASSERT_TRUE(wait_for([&] { return !before->got.empty(); }));
+  // One way is enough for silence on both.
+  faults.link(1, 0).cut = true;
+  relay.links_changed();
+  before->got.clear();
+  before->write(ask);
+  const auto meanwhile = connect();
+  meanwhile->write(ask);
+  ASSERT_TRUE(wait_for([&] { return relay.count().connections == 2; }));
+  for (int turn = 0; turn < 100; ++turn) (void)wait_for([] { return true; });
+  EXPECT_EQ(server.requests.size(), 1U);
+  EXPECT_TRUE(before->got.empty() && !before->ended && !meanwhile->ended);
+  faults.clear();
+  relay.links_changed();
+  ASSERT_TRUE(wait_for([&] { return before->ended && meanwhile->ended; }));
+  EXPECT_EQ(relay.count().reset, 2U);
+  EXPECT_EQ(relay.open(), 0U);
+  EXPECT_EQ(server.requests.size(), 1U);
+  const auto after = connect();
+  after->write(ask);
+  ASSERT_TRUE(wait_for([&] { return !after->got.empty(); }));
+  after->close();
+  ASSERT_TRUE(wait_for([&] { return server.peers.back()->ended; }));  // half an end goes on as one
+  server.peers.back()->close();
+  ASSERT_TRUE(wait_for([&] { return relay.open() == 0; }));
+}
+
 TEST(FleetViews, DifferencesAreToldByName) {
   testbed::View one, other;
   one.name = "n0", one.boot = "a", one.digest = "1", one.states = {{"b", "alive"}}, one.names = {{"b", "n1"}};
