One process is counted at an address; upgrades under load are played by the bed

Seen: in 12 SIGTERM restarts a view counted 13 routers for a moment (restarts.toml, one of 12 restarts): the new process was heard of before the old one's leaving. Ruled out: a second boot of the same process (its socket is free only when the old one has closed). Cause: counts went by boot; at one address there is one process, also before it is known which, so counts go by address now (membership/core.cpp, counts).

Change: the bed passes clients' sockets (doors = true), upgrades routers, looks at what others count meanwhile, and expects it (counted).

--- a/src/membership/core.cpp
+++ b/src/membership/core.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 #include <string_view>
+#include <tuple>
 
 #include "membership/wire.h"
 
@@ -684,22 +685,26 @@
 Counts Core::counts(Time now) const {
   Counts out;
   std::set<std::string_view> well{self_.name};
+  // At one address there is one process, also while it is not yet known which: the best state there counts.
+  std::vector<std::tuple<Address, State, std::string_view>> places{{self_.address, State::alive, self_.name}};
   for (const auto& [boot, member] : table_.all()) {
-    switch (member.record.state) {
-      case State::alive:
-        ++out.alive;
-        well.insert(member.record.name);
-        break;
-      case State::suspect: ++out.suspect; break;
-      case State::unreachable: ++out.unreachable; break;
-      case State::left: ++out.left; break;
+    if (member.record.state == State::left) {
+      ++out.left;
+      continue;
     }
+    places.emplace_back(member.record.address, member.record.state, member.record.name);
+    if (member.record.state == State::alive) well.insert(member.record.name);
+  }
+  std::sort(places.begin(), places.end());
+  out.alive = out.most = 0;
+  Address last = 0;
+  for (const auto& [address, state, name] : places) {
+    if (std::exchange(last, address) == address) continue;
+    ++(state == State::alive ? out.alive : state == State::suspect ? out.suspect : out.unreachable);
+    // Where another process has the name of one that is unreachable, it has its place as well.
+    if (state != State::unreachable || !well.contains(name)) ++out.most;
   }
   out.least = well.size();
-  out.most = out.alive + out.suspect;
-  // Where another process has the name of one that is unreachable, it has its place as well.
-  for (const auto& [boot, member] : table_.all())
-    if (member.record.state == State::unreachable && !well.contains(member.record.name)) ++out.most;
   out.seen = std::min(1.0, static_cast<double>(out.alive) / static_cast<double>(settled_count_));
   out.unchanged_since = last_change_;
   out.settled = settled_;
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -171,7 +172,7 @@
 }
 
 RouterProcess::RouterProcess(const std::string& program, const json& config, const std::string& options_toml,
-                             const std::string& log) {
+                             const std::string& log, const Handed& handed) {
   std::string name = (std::filesystem::temp_directory_path() / "streampick-XXXXXX").string();
   if (::mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the router's files");
   folder_ = name;
@@ -180,11 +181,18 @@
   std::ofstream(options_path) << options_toml;
   // All that takes memory stands before the fork: in the child of a process with threads its locks may be
   // held.
-  std::string own = "NODE_CONFIG=" + config_path;
+  constexpr int kDoor = 3;  // as which it has the clients' socket
+  std::vector<std::string> own = {"NODE_CONFIG=" + config_path};
+  if (handed.door >= 0) own.push_back("NODE_PASSED_SOCKET=" + std::to_string(kDoor));
+  if (!handed.management.empty()) own.push_back("NODE_MANAGEMENT=" + handed.management);
+  if (!handed.scratch.empty()) own.push_back("TMPDIR=" + handed.scratch);
   std::vector<char*> environment;
   for (char** one = ::environ; *one != nullptr; ++one)
-    if (std::string_view(*one).rfind("NODE_CONFIG=", 0) != 0) environment.push_back(*one);
-  environment.push_back(own.data());
+    if (std::none_of(own.begin(), own.end(), [&](const std::string& set) {
+          return std::string_view(*one).rfind(set.substr(0, set.find('=') + 1), 0) == 0;
+        }))
+      environment.push_back(*one);
+  for (std::string& set : own) environment.push_back(set.data());
   environment.push_back(nullptr);
   std::string named = program, option = "--options", file_name = options_path;
   std::array<char*, 4> words{named.data(), nullptr, nullptr, nullptr};
@@ -198,8 +206,9 @@
       const int file = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
       ::dup2(file, 2);
     }
-    // The parent's sockets are not the router's.
-    for (int fd = 3; fd < 1024; ++fd) ::close(fd);
+    // The parent's sockets are not the router's, but for the one that it is handed.
+    if (handed.door >= 0) ::dup2(handed.door, kDoor);
+    for (int fd = handed.door >= 0 ? kDoor + 1 : kDoor; fd < 4'096; ++fd) ::close(fd);
     ::execve(named.c_str(), words.data(), environment.data());
     ::_exit(127);
   }
--- a/src/standin/platform.h
+++ b/src/standin/platform.h
@@ -53,10 +53,18 @@
 
 class RouterProcess {
  public:
+  // What the platform hands a process beside its configuration.
+  struct Handed {
+    int door = -1;                    // the clients' listening socket; -1: it makes its own
+    std::string management, scratch;  // empty: not told
+  };
   // Starts `program`, its configuration and options (empty: none) written to files of its own. Its log goes
   // to the file `log`; empty: to our own standard error.
   RouterProcess(const std::string& program, const nlohmann::json& config, const std::string& options_toml,
-                const std::string& log);
+                const std::string& log, const Handed& handed);
+  RouterProcess(const std::string& program, const nlohmann::json& config, const std::string& options_toml,
+                const std::string& log)
+      : RouterProcess(program, config, options_toml, log, Handed{}) {}
   ~RouterProcess();  // stops it, and removes its files
   RouterProcess(const RouterProcess&) = delete;
   RouterProcess& operator=(const RouterProcess&) = delete;
--- a/src/testbed/bed.cpp
+++ b/src/testbed/bed.cpp
@@ -77,17 +77,18 @@
     for (std::size_t i = 0; i < count; ++i) {
       listen.push_back(take());
       management.push_back(take());
+      other_management.push_back(take());
       peers.emplace_back(any, take());
     }
   }
   ~Ports() { ::close(lock_); }
   Ports(const Ports&) = delete;
   Ports& operator=(const Ports&) = delete;
-  std::vector<unsigned short> listen, management;
+  std::vector<unsigned short> listen, management, other_management;  // other: of the process that comes next
   std::vector<udp::endpoint> peers;
 
  private:
-  static constexpr unsigned kFirst = 20'000, kBlock = 1'000, kBlocks = 12;
+  static constexpr unsigned kFirst = 20'000, kBlock = 1'200, kBlocks = 10;
   int lock_ = -1;
   unsigned short next_ = 0;
 };
@@ -118,6 +119,10 @@
       }
       discoveries_.push_back(std::make_unique<standin::StaticDiscovery>(io_, members_.back()));
     }
+    if (script.doors)
+      for (const unsigned short port : ports_.listen)
+        doors_.push_back(
+            std::make_unique<tcp::acceptor>(io_, tcp::endpoint(asio::ip::make_address("127.0.0.1"), port)));
     thread_ = std::thread([this] { io_.run(); });
     began_ = Steady::now();
     for (std::size_t i = 0; i < script.routers; ++i) start(i);
@@ -127,11 +132,14 @@
   }
   ~Bed() {
     over_ = true;
+    doors_.clear();  // nobody waits there any more
     for (std::size_t i = 0; i < processes_.size(); ++i) kill(i);
     for (std::thread& one : load_) one.join();
     work_.reset();
     io_.stop();
     thread_.join();
+    std::error_code ignored;
+    std::filesystem::remove_all(scratch_, ignored);
   }
 
   Played run() {
@@ -186,6 +194,10 @@
 
   // --- Processes
   void start(std::size_t router) {
+    processes_[router] = made(router);
+    phases_[router] = Phase::running;
+  }
+  std::unique_ptr<standin::RouterProcess> made(std::size_t router) {
     nlohmann::json config = standin::router_config(local(ports_.listen[router]),
                                                    discoveries_[router]->address(), members_[router], 128);
     config["name"] = "n" + std::to_string(router);
@@ -207,12 +219,15 @@
               << "\"\nadmit = \"any\"\nseeds = [\"" << relay_.address(0) << "\", \""
               << relay_.address(script_.routers / 2) << "\"]\n";
     }
-    processes_[router] = std::make_unique<standin::RouterProcess>(
+    standin::RouterProcess::Handed handed;
+    if (script_.doors)
+      handed = {doors_[router]->native_handle(), local(ports_.management[router]), scratch(router)};
+    return std::make_unique<standin::RouterProcess>(
         settings_.router, config, options.str(),
         settings_.logs.empty()
             ? "/dev/null"
-            : settings_.logs + "/n" + std::to_string(router) + "." + std::to_string(starts_) + ".log");
-    phases_[router] = Phase::running;
+            : settings_.logs + "/n" + std::to_string(router) + "." + std::to_string(starts_) + ".log",
+        handed);
   }
   void kill(std::size_t router) {
     phases_[router] = Phase::down;
@@ -225,13 +240,38 @@
     phases_[router] = then;
     ::kill(processes_[router]->pid(), signal);
   }
+  // What the two processes of one router share.
+  std::string scratch(std::size_t router) {
+    const auto folder = scratch_ / std::to_string(router);
+    std::filesystem::create_directories(folder);
+    return folder.string();
+  }
+  std::string upgrade(std::size_t router) {
+    std::swap(ports_.management[router], ports_.other_management[router]);
+    std::unique_ptr<standin::RouterProcess> next = made(router);
+    const auto end = Steady::now() + kSlack;
+    for (std::optional<std::string> health; !health || health->rfind("ACK", 0) != 0;) {
+      if (Steady::now() > end) return "the process after n" + std::to_string(router) + " does not serve";
+      std::this_thread::sleep_for(20ms);
+      health = call(local(ports_.management[router]), "HEALTH", 1s);
+    }
+    std::swap(processes_[router], next);
+    return end_of(router, *next);
+  }
+  // SIGTERM, and what the others count meanwhile.
+  std::string end_of(std::size_t router, standin::RouterProcess& process) {
+    ::kill(process.pid(), SIGTERM);
+    for (; process.running(); std::this_thread::sleep_for(20ms)) views();
+    const int code = process.stop();
+    return code == 0 ? "" : "n" + std::to_string(router) + " ended with " + std::to_string(code);
+  }
   std::string terminate(std::size_t router) {
     if (!processes_[router]) return {};
     phases_[router] = Phase::ending;
-    const int code = processes_[router]->stop();
+    std::string wrong = end_of(router, *processes_[router]);
     processes_[router].reset();
     phases_[router] = Phase::down;
-    return code == 0 ? "" : "n" + std::to_string(router) + " ended with " + std::to_string(code);
+    return wrong;
   }
 
   // --- Views
@@ -242,13 +282,16 @@
         asked[i] =
             std::async(std::launch::async, [this, i] { return ask_view(local(ports_.management[i]), 2s); });
     std::vector<std::optional<View>> out(script_.routers);
-    Sample sample{periods(Steady::now() - began_), std::vector<int>(script_.routers, -1)};
+    Sample sample{periods(Steady::now() - began_), std::vector<int>(script_.routers, -1),
+                  std::vector<bool>(script_.routers)};
     for (std::size_t i = 0; i < script_.routers; ++i) {
       if (!asked[i].valid()) continue;
       out[i] = asked[i].get();
       if (!out[i]) continue;
       sample.alive[i] = static_cast<int>(out[i]->alive);
       declared_[out[i]->boot] = out[i]->declared;
+      if (out[i]->alive + 1 >= script_.routers) joined_.insert(out[i]->boot);
+      sample.joined[i] = joined_.contains(out[i]->boot);
     }
     played_.samples.push_back(std::move(sample));
     return out;
@@ -302,6 +345,16 @@
         said_ = std::to_string(static_cast<long>(each)) + " bytes a second and router";
         return each <= step.number ? "" : said_ + ", over " + std::to_string(static_cast<long>(step.number));
       }
+      case Step::What::counted: {
+        for (std::size_t at = marked_samples_; at < played_.samples.size(); ++at)
+          for (std::size_t i = 0; i < script_.routers; ++i) {
+            const int alive = played_.samples[at].alive[i];
+            const bool few = played_.samples[at].joined[i] && alive < static_cast<int>(step.number);
+            if (alive >= 0 && (few || alive > static_cast<int>(script_.routers)))
+              return "n" + std::to_string(i) + " counted " + std::to_string(alive);
+          }
+        return {};
+      }
       case Step::What::answered: {
         said_ = std::to_string(answered_) + " of " + std::to_string(asked_) + " answered, " +
                 std::to_string(lost_) + " lost";
@@ -323,6 +376,7 @@
     marked_bytes_ = bytes_sent();
     views();
     marked_declared_ = declared_;
+    marked_samples_ = played_.samples.size();
   }
 
   // --- Steps
@@ -351,6 +405,10 @@
         for (const std::size_t i : whom(step)) kill(i);
         for (const std::size_t i : whom(step)) start(i);
         break;
+      case Step::Do::upgrade:
+        for (const std::size_t i : whom(step))
+          if (std::string one = upgrade(i); !one.empty()) wrong = one;
+        break;
       case Step::Do::cut:
       case Step::Do::link:
       case Step::Do::heal: on_loop([&] { set_links(step); }); break;
@@ -451,6 +509,9 @@
   std::vector<std::vector<standin::PlatformMember>> members_;
   std::vector<std::unique_ptr<StreamRelay>> streams_;
   std::vector<std::unique_ptr<standin::StaticDiscovery>> discoveries_;
+  std::vector<std::unique_ptr<tcp::acceptor>> doors_;
+  const std::filesystem::path scratch_ =
+      std::filesystem::temp_directory_path() / ("streampick-bed-" + std::to_string(::getpid()));
   std::vector<std::unique_ptr<standin::RouterProcess>> processes_;
   std::vector<std::atomic<Phase>> phases_;
   std::size_t starts_ = 0;
@@ -461,6 +522,8 @@
   std::map<std::string, std::uint64_t> declared_, marked_declared_;
   Steady::time_point began_, marked_;
   std::uint64_t marked_bytes_ = 0;
+  std::size_t marked_samples_ = 0;
+  std::set<std::string> joined_;
   std::string said_;
   Played played_;
 };
--- a/src/testbed/bed.h
+++ b/src/testbed/bed.h
@@ -13,7 +13,8 @@
 
 struct Sample {
   double periods = 0;
-  std::vector<int> alive;  // that each router counts; -1: it does not run
+  std::vector<int> alive;         // that each router counts; -1: it does not run
+  std::vector<bool> joined = {};  // whether it has counted all but one before, as the process that it is
 };
 
 struct Played {
--- a/src/testbed/script.cpp
+++ b/src/testbed/script.cpp
@@ -17,11 +17,13 @@
     {"start", Step::Do::start},    {"restart", Step::Do::restart},
     {"cut", Step::Do::cut},        {"heal", Step::Do::heal},
     {"link", Step::Do::link},      {"wait", Step::Do::wait},
-    {"mark", Step::Do::mark},      {"expect", Step::Do::expect}};
+    {"mark", Step::Do::mark},      {"upgrade", Step::Do::upgrade},
+    {"expect", Step::Do::expect}};
 const std::map<std::string, Step::What> kThings = {
     {"settled", Step::What::settled},       {"sees", Step::What::sees},
     {"never_lost", Step::What::never_lost}, {"quiet", Step::What::quiet},
-    {"answered", Step::What::answered},     {"routers", Step::What::routers}};
+    {"answered", Step::What::answered},     {"routers", Step::What::routers},
+    {"counted", Step::What::counted}};
 
 template <typename Value>
 Value one_of(options::Table& table, const char* key, const std::map<std::string, Value>& words,
@@ -62,6 +64,7 @@
   table.number("bytes_per_s", out.link.bytes_per_s, 0, 1e9);
   table.number("periods", out.periods, 0, 100'000);
   table.number("number", out.number, 0, 1e9);
+  if (out.action == Step::Do::upgrade && !script.doors) table.wrong("do", "an upgrade needs doors = true");
   if (out.action == Step::Do::expect && out.what == Step::What::none) table.wrong("what", "it is missing");
   if (out.action == Step::Do::wait && out.what == Step::What::none && out.periods == 0)
     table.wrong("periods", "a wait is for something, or for a number of periods");
@@ -112,6 +115,7 @@
   table.integer("datagram_bytes", out.datagram, 256, 1'200);
   table.integer("unreachable_s", out.unreachable_s, 10, 86'400);
   table.integer("hold_ms", out.hold_ms, 0, 600'000);
+  table.yes("doors", out.doors);
   table.yes("numbered", out.numbered);
   table.number("requests_per_s", out.requests_per_s, 0, 10'000);
   for (options::Table& step : table.tables("step")) out.steps.push_back(read_step(std::move(step), out));
--- a/src/testbed/script.h
+++ b/src/testbed/script.h
@@ -18,6 +18,8 @@
     terminate,  // SIGTERM, and waits for its end
     start,      // another process in its place
     restart,    // kill and start at once
+    upgrade,    // another process beside it, by a passed socket; when that serves, SIGTERM, and its end is
+                // waited for
     cut,        // between the groups; one way: only from the first to the others
     heal,       // no faults any more
     link,       // loss and so on, between all or from `who`
@@ -31,8 +33,10 @@
     sees,        // each of `who` counts `number` alive
     never_lost,  // since the last `mark` no router declared more than `number` others unreachable
     quiet,       // bytes a process a second since the last `mark` are at most `number`
-    answered,    // every request of the load had its one final answer
-    routers,     // each of `who` divides totals by `number`
+    counted,  // since the last `mark`, as far as was looked, each router counted `number` at least, and never
+              // too many
+    answered,  // every request of the load had its one final answer
+    routers,   // each of `who` divides totals by `number`
   };
   Do action = Do::wait;
   What what = What::none;
@@ -51,6 +55,7 @@
   std::uint64_t seed = 1;
   std::int64_t period_ms = 200;
   std::size_t datagram = 256;
+  bool doors = false;         // clients' sockets are the bed's, and passed; for upgrades
   bool numbered = true;       // by the platform's peers; else by addresses and seeds
   double requests_per_s = 0;  // of load; 0: none
   std::int64_t unreachable_s = 600, hold_ms = 1'000;
--- a/src/testbed/views.cpp
+++ b/src/testbed/views.cpp
@@ -43,25 +43,32 @@
   }
 }
 
-std::optional<View> ask_view(const std::string& address, std::chrono::milliseconds within) {
+std::optional<std::string> call(const std::string& address, const std::string& line,
+                                std::chrono::milliseconds within) {
   const auto endpoint = node::parse_endpoint(address);
   if (!endpoint) return std::nullopt;
   asio::io_context io;
   asio::ip::tcp::socket socket(io);
   std::string got;
   bool whole = false;
-  const std::string call = "FLEET\n";
+  const std::string said = line + "\n";
   socket.async_connect(*endpoint, [&](error_code error) {
     if (error) return;
-    asio::async_write(socket, asio::buffer(call), [&](error_code unsent, std::size_t) {
+    asio::async_write(socket, asio::buffer(said), [&](error_code unsent, std::size_t) {
       if (unsent) return;
       asio::async_read(socket, asio::dynamic_buffer(got),
                        [&](error_code end, std::size_t) { whole = end == asio::error::eof; });
     });
   });
   io.run_for(within);
-  if (!whole || got.rfind("NAK", 0) == 0) return std::nullopt;
-  return read_view(got);
+  if (!whole) return std::nullopt;
+  return got;
+}
+
+std::optional<View> ask_view(const std::string& address, std::chrono::milliseconds within) {
+  const auto got = call(address, "FLEET", within);
+  if (!got || got->rfind("NAK", 0) == 0) return std::nullopt;
+  return read_view(*got);
 }
 
 std::vector<std::string> differences(const std::vector<View>& views) {
--- a/src/testbed/views.h
+++ b/src/testbed/views.h
@@ -22,6 +22,9 @@
 
 // Throws std::runtime_error where the text is no view.
 View read_view(const std::string& json);
+// A call at an operators' address, "host:port", and its whole answer. None: there is none in time.
+std::optional<std::string> call(const std::string& address, const std::string& line,
+                                std::chrono::milliseconds within);
 // Asks at an operators' address, "host:port". None: there is no answer in time, or no view.
 std::optional<View> ask_view(const std::string& address, std::chrono::milliseconds within);
 
