--- a/tests/fleet/parts_test.cpp
+++ b/tests/fleet/parts_test.cpp
@@ -157,7 +157,7 @@
       {good + "[[step]]\ndo = \"explode\"\n",
        "s.toml:5: step[1].do: expected one of continue, cut, expect, heal, kill, link, mark, restart, start, "
        "stop, "
-       "terminate, wait, not 'explode'"},
+       "terminate, upgrade, wait, not 'explode'"},
       {good + "[[step]]\ndo = \"kill\"\nwho = \"1-4\"\n",
        "s.toml:6: step[1].who: expected numbers of routers from 0 to 3, as 0-4,7, not '1-4'"},
       {good + "[[step]]\ndo = \"cut\"\ngroups = [\"0\"]\n",
