--- /dev/null
+++ b/bench/shares/shares.cpp
@@ -0,0 +1,170 @@
+// What shared limits cost and how soon they follow: guests' datagrams and bytes of one router at rest and
+// after demand has moved, the time of a move and of the way back after a home's death beside the bounds, on
+// virtual time; and what a request pays in the module.
+// bench_shares [ROUTERS:BYTES ...]
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <ctime>
+#include <string>
+#include <vector>
+
+#include "emulator/datagrams.h"
+#include "shares/bounds.h"
+#include "streampick/router.h"
+
+namespace {
+
+using namespace streampick;
+using shares::Kind;
+using shares::kSecond;
+
+constexpr shares::LimitId kPlaces = 0, kQuota = 5;  // of two seats
+
+double cpu_seconds() {
+  timespec time{};
+  ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) + 1e-9 * static_cast<double>(time.tv_nsec);
+}
+
+struct Fleet {
+  Fleet(std::size_t size, std::size_t datagram) : net(3) {
+    net.settings.datagram = datagram;
+    settings.routers = static_cast<std::uint32_t>(size);
+    settings.seats = 4;
+    for (std::uint32_t i = 0; i < 5; ++i)
+      settings.voters.push_back(membership::numbered(i * static_cast<std::uint32_t>(size) / 5));
+    const auto each = static_cast<double>(size);
+    settings.limits = {{"places", kPlaces, Kind::hard, 4 * each}, {"quota", kQuota, Kind::soft, 10 * each}};
+    net.shares = [this](std::size_t) { return std::optional(settings); };
+    net.add_many(size);
+    for (std::size_t i = 0; i < size; ++i) net.start(i);
+  }
+  void demand(std::size_t node, double places, double quota) {
+    net.share(node).demand(net.now(node), kPlaces, places, 0);
+    net.share(node).demand(net.now(node), kQuota, quota, 0);
+    net.after(node);
+  }
+  double guests() const { return static_cast<double>(net.sent().datagrams.back()); }
+  double usable(std::size_t node, shares::LimitId limit) const {
+    return net.share(node).part(limit).usable(net.now(node));
+  }
+  double until(const std::function<bool()>& done, double most) {
+    const auto from = net.now();
+    std::size_t events = 0;
+    const std::size_t each = net.size() > 50 ? 20 : 1;
+    const bool is = net.run_until([&] { return ++events % each == 0 && done(); },
+                                  static_cast<shares::Time>(most * kSecond));
+    const double took = static_cast<double>(net.now() - from) / kSecond;
+    return is ? took : -took;
+  }
+  shares::Settings settings;
+  emulator::Datagrams net;
+};
+
+void measure(std::size_t routers, std::size_t datagram) {
+  Fleet fleet(routers, datagram);
+  const double quota = fleet.settings.limits[1].total, places = fleet.settings.limits[0].total;
+  const auto leased = [&] {
+    double sum = 0;
+    for (std::size_t i = 0; i < routers; ++i)
+      if (fleet.net.up(i)) sum += fleet.usable(i, kPlaces);
+    return sum >= 0.95 * places;
+  };
+  for (std::size_t i = 0; i < routers; ++i) fleet.demand(i, 8, 12);
+  const double begun = fleet.until(leased, 120);
+  fleet.net.run_for(20 * kSecond);
+  const double each = static_cast<double>(routers);
+  double guests = fleet.guests(), cpu = cpu_seconds();
+  fleet.net.run_for(10 * kSecond);
+  const double rest = (fleet.guests() - guests) / 10 / each;
+  cpu = 1e6 * (cpu_seconds() - cpu) / 10 / each;
+  // All of a tenant's demand is at one router from one moment on.
+  for (std::size_t i = 0; i < routers; ++i) fleet.demand(i, 0, i == 0 ? quota : 0);
+  guests = fleet.guests();
+  const double moved = fleet.until([&] { return fleet.usable(0, kQuota) >= 0.95 * quota; }, 60);
+  const double shift = (fleet.guests() - guests) / std::max(0.1, moved) / each;
+  for (std::size_t i = 0; i < routers; ++i) fleet.demand(i, 8, 12);
+  fleet.until(leased, 60);
+  // The home of the places dies.
+  std::size_t home = 0;
+  while (home + 1 < routers && !fleet.net.share(home).home(kPlaces % 4, fleet.net.now(home))) ++home;
+  fleet.net.kill(home);
+  fleet.until([&] { return !leased(); }, 10);
+  const double back = fleet.until(leased, 120);
+  std::printf("| %zu, %zu | %.1f | %.2f | %.2f | %.0f | %.2f (%.1f) | %.1f (%.1f) |\n", routers, datagram,
+              begun, rest, shift, cpu, moved, shares::moved_seconds(fleet.settings), back,
+              shares::back_seconds(fleet.settings));
+  std::fflush(stdout);
+}
+
+struct Nowhere final : ActionSink {
+  void send(RequestId, ServerId, Time) override {}
+  void cancel(RequestId, std::uint32_t) override {}
+  void refuse(RequestId, Time) override {}
+  void fail(RequestId) override {}
+  void watch_members() override {}
+};
+
+// Nanoseconds for a request of a tenant with a quota, from its coming to its answer.
+double a_request(bool shared) {
+  Config config;
+  config.routers = 12;
+  config.max_attempts = 2;
+  config.classes = {{200'000, 1'000'000, 1, Effect::safe, Group::all, 0}};
+  config.tenants = {{1e6}};
+  Nowhere sink;
+  Router router(config, 1, 0, sink);
+  std::vector<Member> list;
+  for (ServerId id = 0; id < 12; ++id)
+    list.push_back({.id = id, .identity = (id + 1) * 0x9e3779b97f4a7c15U, .zone = 0, .kind = 0});
+  router.on_members(0, Update::full, list);
+  if (shared) {
+    Shares own;
+    own.quotas = {1e5};
+    router.on_shares(0, own);
+  }
+  constexpr int kRequests = 400'000;
+  Time now = 0;
+  const double from = cpu_seconds();
+  for (int i = 1; i <= kRequests; ++i) {
+    now += 100;
+    const auto id = static_cast<RequestId>(i);
+    router.on_request(
+        now, {.id = id, .tenant = 0, .key = id * 7919, .has_key = true, .deadline = now + 1'000'000});
+    router.on_withdrawn(now, id);
+  }
+  return 1e9 * (cpu_seconds() - from) / kRequests;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  std::vector<double> shared, alone;
+  for (int i = 0; i < 7; ++i) {
+    alone.push_back(a_request(false));
+    shared.push_back(a_request(true));
+  }
+  std::sort(shared.begin(), shared.end());
+  std::sort(alone.begin(), alone.end());
+  std::printf(
+      "a request in the module, ns: %.0f with an even part, %.0f with its own (median of 7; least %.0f, "
+      "%.0f)\n\n",
+      alone[3], shared[3], alone[0], shared[0]);
+  std::printf(
+      "| routers, bytes | leased first, s | datagrams/s and router at rest | while demand moves | CPU us/s, "
+      "the view "
+      "included | moved, s (bound) | back after the home's death, s (bound) |\n"
+      "| --- | --- | --- | --- | --- | --- | --- |\n");
+  std::vector<std::string> sizes(argv + 1, argv + argc);
+  if (sizes.empty()) sizes = {"12:256", "12:1200", "100:1200", "300:256", "300:1200", "1000:1200"};
+  for (const std::string& size : sizes) {
+    std::size_t routers = 0, datagram = 0;
+    if (std::sscanf(size.c_str(), "%zu:%zu", &routers, &datagram) != 2 || routers < 5) {
+      std::fprintf(stderr, "bench_shares: expected ROUTERS:BYTES, not '%s'\n", size.c_str());
+      return 2;
+    }
+    measure(routers, datagram);
+  }
+  return 0;
+}
--- a/tests/fleet/parts_test.cpp
+++ b/tests/fleet/parts_test.cpp
@@ -138,6 +138,49 @@
             "o.toml: fleet: the platform's name of this router must be 1 to 32 letters, digits or signs");
 }
 
+TEST(ShareOptions, AMistakeIsToldInOneLineWithFileLineAndKey) {
+  const std::string fleet = "[fleet]\nlisten = \"127.0.0.1:7946\"\n",
+                    good = fleet + "[shares]\nvoters = [\"127.0.0.1:7946\"]\n";
+  EXPECT_EQ(error_of(good), "");
+  const std::vector<std::pair<std::string, std::string>> cases = {
+      {"[shares]\n", "o.toml: shares: it needs the table [fleet]"},
+      {fleet + "[shares]\n", "o.toml: shares.voters: it is missing"},
+      {fleet + "[shares]\nvoters = [\"x\"]\n",
+       "o.toml: shares.voters: expected ADDRESS:PORT, as the others reach it, not 'x'"},
+      {fleet + "[shares]\nvoters = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\n",
+       "o.toml: shares.voters: one is named twice"},
+      {good + "origin_places = -1\n",
+       "o.toml:5: shares.origin_places: expected a whole number from 0 to 10000000"},
+      {good + "seats = 17\n", "o.toml:5: shares.seats: expected a whole number from 1 to 16"},
+      {good + "term_ms = 1500\n", "o.toml:5: shares.term_ms: expected two periods at least"},
+      {good + "lease_ms = 5000\n",
+       "o.toml:5: shares.lease_ms: expected two periods at least, and at most term_ms"},
+      {good + "work_ms = 1\n",
+       "o.toml: shares.work_ms: expected at least the longest HardLimitUs of the platform's classes, "},
+      {good + "drift = 0.9\n", "o.toml:5: shares.drift: expected a number from 0 to 0.5"},
+      {good + "places = 1\n", "o.toml:5: shares.places: there is no such key"},
+  };
+  for (const auto& [toml, error] : cases) EXPECT_EQ(error_of(toml).substr(0, error.size()), error) << toml;
+  const nlohmann::json peers = {{"peer_listen", "127.0.0.1:1"}, {"peers", {"127.0.0.1:2", "127.0.0.1:3"}}};
+  EXPECT_EQ(error_of("[fleet]\n[shares]\n", true, peers), "");
+  EXPECT_EQ(error_of("[fleet]\n[shares]\nvoters = [\"2\"]\n", true, peers),
+            "o.toml: shares.voters: expected numbers of the platform's peers, 0 to 1, not '2'");
+}
+
+// Parts of a total by their names, equal at all routers, whatever their order in the settings.
+TEST(ShareOptions, ALimitIsKnownByItsName) {
+  fleet::ShareOptions options;
+  options.origin_places = 8;
+  const auto one = fleet::limits_of(options, {"a", "b", "c"}, {{10}, {0}, {30}});
+  const auto other = fleet::limits_of(options, {"c", "a"}, {{30}, {10}});
+  ASSERT_EQ(one.size(), 3U);  // without a quota there is nothing to divide
+  ASSERT_EQ(other.size(), 3U);
+  EXPECT_EQ(one[0].id, other[0].id);
+  EXPECT_EQ(one[1].id, other[2].id);
+  EXPECT_EQ(one[2].id, other[1].id);
+  EXPECT_EQ(one[2].total, 30);
+}
+
 TEST(FleetOptions, ARosterFileIsAnAddressALine) {
   EXPECT_EQ(fleet::parse_roster("# peers\n10.0.0.1:7946\n\n  10.0.0.2:1 # two\r\n").size(), 2U);
   EXPECT_THROW(fleet::parse_roster("10.0.0.1:7946\nhost:1\n"), std::runtime_error);
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -207,6 +207,7 @@
     resolve(options, settings);
 #ifdef STREAMPICK_WITH_FLEET
     fleet::resolve(options.fleet, settings, options.file);
+    fleet::resolve(options.shares, options.fleet, settings, options.file);
 #endif
   } catch (const options::Error& error) {
     return error.what();
