--- a/bench/resp/head_of_line.cpp
+++ b/bench/resp/head_of_line.cpp
@@ -69,7 +69,7 @@
       message->key = "k" + std::to_string(last % 50);
       message->body = "v";
       ends.begun[last] = now;
-      transport.send({last, save ? 1U : 0U}, std::move(message), now + 4'000'000);
+      transport.send({last, save ? 1U : 0U}, std::move(message), now + 4'000'000, kNever);
     }
     io.restart();
     io.run_one_for(std::chrono::microseconds(500));
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -99,9 +99,8 @@
     if (http_ && descriptors_.borrows(overload::Descriptors::Side::clients)) http_->give_one_back();
   };
   const Settings& told = settings.settings;
-  engine_ = std::make_unique<Engine>(
-      clock_, EngineSettings{told.config, told.seed, {}, names_.classes}, *transports_,
-      [](std::string_view text) { log(text); });
+  engine_ = std::make_unique<Engine>(clock_, EngineSettings{told.config, told.seed, {}, names_.classes},
+                                     *transports_, [](std::string_view text) { log(text); });
   transports_->report_to(*engine_);
   lists_.to = engine_.get();
 #ifdef STREAMPICK_WITH_ETCD
--- a/src/engine/class_table.cpp
+++ b/src/engine/class_table.cpp
@@ -49,7 +49,8 @@
 }
 
 Time ClassTable::longest_deadline() const {
-  const bool named = std::any_of(names_.begin(), names_.end(), [](const auto& name) { return name != kNobody; });
+  const bool named =
+      std::any_of(names_.begin(), names_.end(), [](const auto& name) { return name != kNobody; });
   Time out = 0;
   for (std::size_t i = 0; i < rules_.size(); ++i) {
     if (named && names_[i] == kNobody && open_[i] == 0) continue;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -11,8 +11,8 @@
 // An answer must have reached the client before its deadline: the module is told one that is earlier
 // by the time that the last steps take, and the guard stands between the two.
 constexpr Time kAnswerTakes = 20 * kMs, kGuardBefore = 8 * kMs;
-// The kill comes no sooner than the longest deadline, of which 3 s count at most, and 0.7 s after the signal to
-// stop: what is open fails before that, with time left for the last writes.
+// The kill comes no sooner than the longest deadline, of which 3 s count at most, and 0.7 s after the signal
+// to stop: what is open fails before that, with time left for the last writes.
 constexpr Time kAcceptAfterTerm = 500 * kMs, kAnswerAfterTerm = 3'200 * kMs, kLastWrites = 200 * kMs;
 constexpr Time kAnswerAfterDeadline = 400 * kMs;
 constexpr Time kRememberTxn = 2 * kSecond;
@@ -134,8 +134,8 @@
 }
 
 // Until when one more attempt may begin, the last of `open` being the one that is to: repeats are discarded
-// for a window from the first byte of the first attempt that may have run. That byte left when the attempt was
-// sent, or later; a tenth of the window is left to what lies between our first byte and the server's.
+// for a window from the first byte of the first attempt that may have run. That byte left when the attempt
+// was sent, or later; a tenth of the window is left to what lies between our first byte and the server's.
 Time Engine::repeated_until(const Open& open) const {
   const RequestClass& rules = classes_.rules().at(open.request_class);
   if (rules.effect == Effect::safe) return kNever;
@@ -201,6 +201,7 @@
   open.txn = incoming.txn;
   open.key = incoming.key;
   open.asked = now;
+  incoming.message->repeatable = classes_.rules().at(incoming.request_class).effect == Effect::safe;
   open.message = std::move(incoming.message);
   open.request_class = incoming.request_class;
   classes_.opened(open.request_class);
@@ -626,8 +627,8 @@
 }
 
 // A server that leaves, or is left out by hand: nothing begins there from now on, and what waits for its
-// connection goes elsewhere. The rules allow a grace from when the news was told; how long ago that was nobody
-// knows here, since a watch may have been silent. What it holds open is of no use to either side.
+// connection goes elsewhere. The rules allow a grace from when the news was told; how long ago that was
+// nobody knows here, since a watch may have been silent. What it holds open is of no use to either side.
 void Engine::keep_off(ServerId server) {
   Transport& transport = *servers_[server].transport;
   if (transport.nothing_from() > time_.now()) transport.send_nothing_from(time_.now());
--- a/src/engine/message.h
+++ b/src/engine/message.h
@@ -63,6 +63,7 @@
   std::vector<std::string> words;
   // Who asked can pass an answer's body on while it still comes.
   bool in_parts = false;
+  bool repeatable = false;  // it may be sent again whatever came of it
 
   bool spent() const { return upload && upload->taken() > 0; }
 };
--- a/src/http1/transport.cpp
+++ b/src/http1/transport.cpp
@@ -15,10 +15,15 @@
 constexpr int kMostInterim = 16;
 constexpr std::size_t kChunk = 16 * 1024;
 constexpr Time kRested = 1'000'000;
-// A server may send more behind its answer, some milliseconds later, and what comes under the next request
-// reads as the answer to it: nothing in an answer says whose it is. So a connection is used again only after
-// it has been quiet for so long; what came meanwhile shows when it is looked at.
-constexpr Time kSettled = 20'000;
+// A server may send more behind its answer, some milliseconds later, and under the next request that reads as
+// the answer to it: nothing in an answer says whose it is. A connection has settled when nothing came for so
+// long; if something did, that shows when it is looked at.
+constexpr Time kSettled = 10'000;
+// Where answers take much longer than that, a read that may be repeated need not wait for it: what comes too
+// soon behind another answer is then hardly ever its own, and is not taken for it.
+constexpr double kSlow = 5 * kSettled;
+// Where several wait for connections to settle, so many more are made to one server, to have some at rest.
+constexpr std::size_t kAtRest = 16;
 constexpr std::chrono::seconds kStalled{5};  // without a byte of an answer that is passed on
 constexpr Time kStalledUs = std::chrono::microseconds(kStalled).count();
 constexpr double kForget = 0.05;  // of the usual time, with each answer
@@ -270,6 +275,8 @@
       if (failed) return spoilt(failed.message());
       if (drained_) body_.clear();
       if (parser_->is_header_done() && !std::exchange(header_seen_, true)) {
+        if (answered_at > 0 && owner_->clock_.now() - answered_at < kSettled)
+          return spoilt("it came too soon behind another");
         if (!head_.framing.plain(head_.version)) return spoilt("length in doubt");
         const std::uint64_t length = parser_->content_length().value_or(0);
         // Without a length nobody knows how long it is: it is waited for no longer than a long one.
@@ -570,11 +577,12 @@
   serve_those_who_wait();
 }
 
-// One that has been quiet since its last answer, the most recently used first; none: there is none.
-Upstream::Link Upstream::take_settled() {
+// An idle connection for the job, the most recently used first; none: there is none yet.
+Upstream::Link Upstream::take_idle(const Job& job) {
+  const bool may_doubt = job.message->repeatable && usual_ >= kSlow;
   for (std::size_t i = idle_.size(); i-- > 0;) {
     const Link link = idle_[i];
-    if (clock_.now() - link->answered_at < kSettled) continue;
+    if (!may_doubt && clock_.now() - link->answered_at < kSettled) continue;
     idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(i));
     if (link->clean()) return link;
     link->close();
@@ -582,32 +590,34 @@
   return nullptr;
 }
 
-// Those that have just answered are worth waiting for: a new connection costs its server more.
 void Upstream::serve_those_who_wait() {
   while (!waiting_.empty()) {
-    const Link link = take_settled();
+    const Link link = take_idle(waiting_.front());
     if (!link) break;
     Job job = std::move(waiting_.front());
     waiting_.pop_front();
     busy_.insert(link);
     start(link, std::move(job));
   }
-  if (waiting_.empty()) return;
-  if (!idle_.empty()) {
-    const auto first = std::min_element(idle_.begin(), idle_.end(), [](const Link& a, const Link& b) {
-      return a->answered_at < b->answered_at;
-    });
-    const Time wait = std::max<Time>(0, (*first)->answered_at + kSettled - clock_.now());
-    settled_.expires_after(std::chrono::microseconds(wait));
-    settled_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](error_code cancelled) {
-      if (!cancelled && alive.lock()) serve_those_who_wait();
-    });
-  }
   dial_for_those_who_wait();
+  if (waiting_.empty() || idle_.empty()) return;
+  // What has not settled yet may do so before a dial is made.
+  const auto first = std::min_element(idle_.begin(), idle_.end(), [](const Link& a, const Link& b) {
+    return a->answered_at < b->answered_at;
+  });
+  const Time wait = std::max<Time>(0, (*first)->answered_at + kSettled - clock_.now());
+  settled_.expires_after(std::chrono::microseconds(wait));
+  settled_.async_wait([this, alive = std::weak_ptr<bool>(alive_)](error_code cancelled) {
+    if (!cancelled && alive.lock()) serve_those_who_wait();
+  });
 }
 
+// A connection that settles soon is worth a short wait: a new one costs its server more.
 void Upstream::dial_for_those_who_wait() {
-  while (waiting_.size() > dialling_.size() + idle_.size()) {
+  while (waiting_.size() > dialling_.size()) {
+    const bool must = waiting_.size() > dialling_.size() + idle_.size();
+    const std::size_t open = idle_.size() + busy_.size() + dialling_.size();
+    if (!must && (waiting_.size() < 2 + dialling_.size() || open >= kAtRest || !links_.has_room())) return;
     if (!links_.has_room()) links_.free_a_connection();
     if (!links_.has_room()) {
       log("no descriptor left for a connection to " + name_);
@@ -651,7 +661,7 @@
 
 void Upstream::dial_failed(const Link& link) {
   drop(link);
-  // At most one waits for each that dials or settles: one fails for each dial that failed.
+  // For each that waits one dials or settles: one fails for each dial that failed.
   if (waiting_.size() <= dialling_.size() + idle_.size()) return;
   const Job job = std::move(waiting_.front());
   waiting_.pop_front();
--- a/src/http1/transport.h
+++ b/src/http1/transport.h
@@ -50,7 +50,7 @@
   void dial_for_those_who_wait();
   void end_those_who_wait(Outcome outcome);
   void start(const Link& link, Job job);
-  Link take_settled();
+  Link take_idle(const Job& job);
   void came_free(const Link& link);
   void serve_those_who_wait();
   void dial_failed(const Link& link);
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -66,7 +66,7 @@
   using Sessions = std::list<std::shared_ptr<Session>>;
 
   bool has_place() override { return true; }  // whoever finds none is told so
-  bool is_full() const override {
+  bool is_full() const {
     return sessions_.size() >= settings_.most_clients ||
            (descriptors_ != nullptr && !descriptors_->has_room(overload::Descriptors::Side::clients));
   }
--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -358,6 +358,85 @@
   EXPECT_EQ(fleet.nothing_from("c-2"), time.now());
 }
 
+// ---- Windows of repeats
+
+TEST_F(EngineTest, ARepeatMustBeginWithinTheWindowOfTheFirstAttemptThatMayHaveRun) {
+  engine->list_came(list(2, true, {{"c-1", Phase::ready}}, true));
+  ask(kSave);
+  ASSERT_EQ(fleet.sent.size(), 1U);
+  EXPECT_EQ(fleet.sent[0].begin_by, kNever);
+  const Time first = time.now();
+  time.advance(300 * kMs);
+  end(0, Outcome::reset);
+  ASSERT_EQ(fleet.sent.size(), 2U);
+  EXPECT_EQ(fleet.sent[1].begin_by, first + 4'500 * kMs);
+  // Nothing of it ran: there is nothing to repeat.
+  ask(kSave, 1);
+  end(2, Outcome::connect_failed);
+  time.advance(300 * kMs);
+  ASSERT_EQ(fleet.sent.size(), 4U);
+  EXPECT_EQ(fleet.sent[3].begin_by, kNever);
+  // A read may be repeated for ever.
+  ask(kRead, 2);
+  end(4, Outcome::reset);
+  ASSERT_EQ(fleet.sent.size(), 6U);
+  EXPECT_EQ(fleet.sent[5].begin_by, kNever);
+}
+
+// The repeat could not be made just before the window's end; the next try, after its wait, would be too late.
+TEST_F(EngineTest, AWaitThatOutlastsTheWindowEndsTheRequestWithoutARepeat) {
+  build([](Config& config) { config.classes[kSave].window = 500 * kMs; });
+  engine->list_came(list(2, true, {{"c-1", Phase::ready}}, true));
+  ask(kSave);
+  time.advance(100 * kMs);
+  end(0, Outcome::reset);
+  ASSERT_EQ(fleet.sent.size(), 2U);
+  time.advance(340 * kMs);
+  end(1, Outcome::connect_failed);
+  time.advance(1'000 * kMs);
+  EXPECT_EQ(fleet.sent.size(), 2U);
+  ASSERT_EQ(replies(), 1U);
+  EXPECT_EQ(reply().kind, Reply::Kind::failed);
+  EXPECT_TRUE(reply().may_have_run);
+}
+
+// Settings that come meanwhile change nothing for a request that is open.
+TEST_F(EngineTest, AShorterWindowHoldsForNewRequestsOnly) {
+  engine->list_came(list(2, true, {{"c-1", Phase::ready}}, true));
+  ask(kSave);
+  const Time first = time.now();
+  Config next;
+  next.aside = true;
+  next.origin_kind = 1;
+  next.max_attempts = 3;
+  next.classes = {{2 * kSecond, 8 * kSecond, 1, Effect::safe, Group::all, 0},
+                  {2 * kSecond, 8 * kSecond, 1, Effect::keyed, Group::all, 200 * kMs},
+                  {2 * kSecond, 8 * kSecond, 1, Effect::unsafe, Group::all, 0}};
+  engine->reconfigure(next, {"read", "save", "pay"});
+  time.advance(300 * kMs);
+  end(0, Outcome::reset);
+  ASSERT_EQ(fleet.sent.size(), 2U);
+  EXPECT_EQ(fleet.sent[1].begin_by, first + 4'500 * kMs);
+}
+
+// ---- The end
+
+TEST_F(EngineTest, ToldToStopWithShortDeadlinesItEndsBeforeTheKill) {
+  build([](Config& config) {
+    for (RequestClass& rules : config.classes) rules.deadline = kSecond;
+  });
+  ask(kRead, 0, kSecond);
+  bool done = false;
+  engine->drain([&] { done = true; });
+  front.waiting = 1;
+  time.advance(400 * kMs);
+  ask(kRead, 1, kSecond);
+  time.advance(1'000 * kMs);
+  EXPECT_EQ(replies(), 2U);
+  time.advance(200 * kMs);  // 1.6 s after the signal: the kill comes after 1.7 s
+  EXPECT_TRUE(done);
+}
+
 // ---- Operators
 
 TEST_F(EngineTest, LeftOutByHandNothingMayBeginFromTheSameMomentWhateverTheListSays) {
--- a/tests/http1/parts_test.cpp
+++ b/tests/http1/parts_test.cpp
@@ -250,6 +250,7 @@
     quiet(usual);
     cache.peers[0]->write(response(200, "x"));
     ASSERT_TRUE(wait_for([&] { return first->answers.size() == 1; }));
+    quiet(30);  // its connection may be used again
     {
       const auto gone = client();
       gone->ask(a_read());
@@ -265,6 +266,7 @@
   EXPECT_EQ(host->links().drains.begun, 1U);
   cache.peers[0]->write(response(200, "nobody's"));
   ASSERT_TRUE(wait_for([&] { return host->links().drains.reused == 1; }));
+  quiet(30);
   const auto next = client();
   next->ask(a_read());
   ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 3; }));
