Lists: one sum for how old news may be; whole lists alone are signs of life

Need: a change counts as told 6 s after discovery had it and could be reached, whatever failed. Found by adding up: silence 2.8 s + back-off 2 s + connect 1 s + 2.8 s for a head that never came + back-off again is far over 6 s; asked lists backed off by up to 6 s (state.h, kAskMost x 1.5). Any byte, also of half a line, counted as life (discovery.cpp, received()). A list indented over lines was cut at each line and refused. An older whole list was taken (line()), and brought back what had gone. Change: roster/watch_times.h derives the sum (4.8 s pushed, 5.5 s asked at most, 0.5 s of margin checked at compile time); one bound on an attempt from dial to first whole line; roster/list_framer cuts lists by brackets; older whole lists are not taken for 20 s. Tests: Watched (ten ways a watch fails, each with its bound; drips; resets; older lists and watches; indented; return behind a failed try; drains before a copy, a dial, a next try), ListFramer.

--- a/src/roster/discovery.cpp
+++ b/src/roster/discovery.cpp
@@ -19,8 +19,8 @@
 namespace {
 
 constexpr std::size_t kLongestList = 4 * 1024 * 1024;
-// For so long whole lists that are older than what is known are taken for a discovery that lags behind; one that
-// tells nothing else was started anew and counts from the beginning.
+// For so long whole lists that are older than what is known are taken for a discovery that lags behind; one
+// that tells nothing else was started anew and counts from the beginning.
 constexpr std::chrono::seconds kLags{20};
 
 }  // namespace
@@ -50,8 +50,8 @@
   }
 
  private:
-  // A machine that is cut off says nothing at all: only the missing lines tell. Half a line is no sign of life:
-  // the rest of it may never come.
+  // A machine that is cut off says nothing at all: only the missing lines tell. Half a line is no sign of
+  // life: the rest of it may never come.
   void listen_for_silence(milliseconds longest) {
     silence_.expires_after(longest);
     silence_.async_wait([self = shared_from_this()](error_code cancelled) {
--- a/src/roster/watch_times.h
+++ b/src/roster/watch_times.h
@@ -1,21 +1,22 @@
-// How old news of the list can get: the one place where all waits between two looks at discovery are added up.
-// No I/O.
+// How old news of the list can get: the one place where all waits between two looks at discovery are added
+// up. No I/O.
 //
-// The rule: a change counts as told 6 s after discovery had it and could be reached, whatever calls failed, were
-// refused or given up meanwhile. A watch can end in any way, and the first attempt after that can fail too. An
-// attempt is all from the dial to the first whole line. The longest way from a change to its news is
+// The rule: a change counts as told 6 s after discovery had it and could be reached, whatever calls failed,
+// were refused or given up meanwhile. A watch can end in any way, and the first attempt after that can fail
+// too. An attempt is all from the dial to the first whole line. The longest way from a change to its news is
 //
 //   silence + back-off + failing + back-off + attempt
 //
-// where the watch falls silent just behind its last line and just before the change; one attempt fails; the next
-// has the list at the very end of its time. However long discovery was down, from its return on it is
+// where the watch falls silent just behind its last line and just before the change; one attempt fails; the
+// next has the list at the very end of its time. However long discovery was down, from its return on it is
 //
 //   attempt + back-off + failing + back-off + attempt
 //
-// where one that was begun just before the return hangs. `failing` is how long an attempt takes that fails though
-// discovery can be reached: with an agent it may hang for all of its time; a service for all routers refuses or
-// resets what it can't take. Where the list must be asked for, the decision module spaces the attempts
-// (`policy/state.h`, kAskFirst and kAskMost), and discovery lets calls wait in turn for up to 2 s.
+// where one that was begun just before the return hangs. `failing` is how long an attempt takes that fails
+// though discovery can be reached: with an agent it may hang for all of its time; a service for all routers
+// refuses or resets what it can't take. Where the list must be asked for, the decision module spaces the
+// attempts
+// (`policy/state.h`, kAskAfter), and discovery lets calls wait in turn for up to 2 s.
 #pragma once
 
 #include <algorithm>
@@ -40,7 +41,7 @@
                                     milliseconds(100), milliseconds(300)};
 // One service for all routers; the back-offs are the module's.
 inline constexpr WatchTimes kAsked{milliseconds(2'400), milliseconds(2'100), milliseconds(100),
-                                   milliseconds(300), milliseconds(600)};
+                                   milliseconds(450), milliseconds(450)};
 
 inline constexpr milliseconds kToldWithin{6'000}, kMargin{500};
 static_assert(kPushed.oldest_news() + kMargin <= kToldWithin);
--- a/tests/roster/discovery_test.cpp
+++ b/tests/roster/discovery_test.cpp
@@ -1,5 +1,6 @@
 // The watch on discovery over loopback sockets.
 #include "loopback.h"
+#include "roster/watch_times.h"
 
 namespace streampick::node::test {
 namespace {
@@ -61,6 +62,239 @@
   EXPECT_TRUE(read_goes_to(cache));
 }
 
+// ---- Watches that fail, each at another place
+
+// What the test's discovery does with each watch, from the accept on; what it did is told by the time of its
+// next one.
+TEST_F(Watched, HoweverAWatchFailsTheNextOneComesWithinItsShareOfTheSixSeconds) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string list = list_json(1, false, {}).dump();
+  struct Case {
+    const char* name;
+    std::function<void()> play;
+    std::chrono::milliseconds longest;  // until the next watch
+  };
+  const auto quick = std::chrono::milliseconds(400), silent = roster::kPushed.silence + quick;
+  const auto attempt = roster::kPushed.attempt + quick;
+  const auto reset = [this] {
+    agent->socket.set_option(asio::socket_base::linger(true, 0));
+    agent->close();
+  };
+  const std::vector<Case> cases = {
+      {"silent from its first byte", [] {}, attempt},
+      {"silent behind its head", [&] { agent->write(head); }, attempt},
+      {"silent in the first line",
+       [&] {
+         begin_watch();
+         chunk(list.substr(0, 20));
+       },
+       attempt},
+      {"silent in a later line",
+       [&] {
+         begin_watch();
+         chunk(list + "\n" + list.substr(0, 20));
+       },
+       silent},
+      {"silent", [&] { begin_watch(), chunk("\n"); }, silent},
+      {"refused", [&] { agent->write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"); }, quick},
+      {"reset at once", reset, quick},
+      {"reset between two fragments",
+       [&] {
+         begin_watch();
+         chunk(list.substr(0, 20));
+         quiet(20);
+         reset();
+       },
+       quick},
+      {"ended in order", [&] { agent->close(); }, quick},
+      {"spoilt", [&] { agent->write("no such protocol\r\n\r\n"); }, quick},
+  };
+  start();
+  accept_watch();
+  for (const Case& one : cases) {
+    const auto began = std::chrono::steady_clock::now();
+    one.play();
+    accept_watch();
+    EXPECT_LE(std::chrono::steady_clock::now() - began, one.longest) << one.name;
+  }
+  EXPECT_TRUE(read_goes_to(cache));  // the old list serves through all of it
+}
+
+// A byte now and then is no line: what discovery has to tell may never come.
+TEST_F(Watched, ALineThatDripsIsSilence) {
+  start();
+  accept_watch();
+  begin_watch();
+  const std::string list = list_json(2, false, {}).dump();
+  std::shared_ptr<Peer> old = agent;
+  std::size_t at = 0;
+  ASSERT_TRUE(wait_for([&] {
+    if (at < list.size() && !old->ended) chunk(list.substr(at++, 1));
+    quiet(100);
+    return old->ended;
+  }));
+  EXPECT_LT(at, list.size());
+  accept_watch();
+}
+
+TEST_F(Watched, AListThatIsResetJustBehindItsLastByteIsTaken) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  FakeServer other(io, [](const std::string&) { return response(200, "y"); });
+  start();
+  accept_watch();
+  begin_watch();
+  chunk(list_json(2, true, {{"s-new", other.address()}, {"s-origin", origin.address(), "origin"}}).dump() +
+        "\n");
+  quiet(30);  // read: a reset would take what is not
+  agent->socket.set_option(asio::socket_base::linger(true, 0));
+  agent->close();
+  accept_watch();
+  EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=2 ", 0), 0U);
+  EXPECT_TRUE(read_goes_to(other));
+}
+
+// A discovery that lags behind, or another one at the same address: the version goes up only.
+TEST_F(Watched, AWholeListOlderThanWhatIsKnownIsNotTaken) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  FakeServer other(io, [](const std::string&) { return response(200, "y"); });
+  start();
+  accept_watch();
+  begin_watch();
+  chunk(list_json(9, true, {{"s-new", other.address()}, {"s-origin", origin.address(), "origin"}}).dump() +
+        "\n");
+  ASSERT_TRUE(read_goes_to(other));
+  agent->close();
+  accept_watch();
+  begin_watch();
+  chunk(list_json(8, true, {{"s-cache", cache.address()}, {"s-origin", origin.address(), "origin"}}).dump() +
+        "\n");
+  accept_watch();  // asked anew
+  EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=9 ", 0), 0U);
+  EXPECT_TRUE(read_goes_to(other));
+  begin_watch();
+  chunk(list_json(10, false, {{"s-new", other.address(), "box", "terminated"}, {"s-cache", cache.address()}})
+            .dump() +
+        "\n");
+  quiet(30);
+  EXPECT_TRUE(read_goes_to(cache));
+}
+
+// The watch that was replaced speaks after the one that replaced it.
+TEST_F(Watched, AnOlderWatchThatSpeaksLastIsNotHeard) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  FakeServer other(io, [](const std::string&) { return response(200, "y"); });
+  start();
+  accept_watch();
+  begin_watch();
+  chunk("\n");
+  const auto old = agent;
+  tcp::acceptor next(io, any_port());
+  NodeSettings anew = settings;
+  anew.discovery = next.local_endpoint();
+  host->reload(anew);
+  std::swap(discovery, next);
+  accept_watch();
+  begin_watch();
+  chunk(list_json(2, true, {{"s-new", other.address()}, {"s-origin", origin.address(), "origin"}}).dump() +
+        "\n");
+  ASSERT_TRUE(read_goes_to(other));
+  error_code ignored;
+  const std::string late = list_json(99, true, {{"s-cache", cache.address()}}).dump() + "\n";
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", late.size());
+  asio::write(old->socket, asio::buffer(size.data() + late + "\r\n"), ignored);
+  quiet(50);
+  EXPECT_TRUE(read_goes_to(other));
+}
+
+TEST_F(Watched, AListIndentedOverSeveralLinesIsTaken) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  FakeServer other(io, [](const std::string&) { return response(200, "y"); });
+  start();
+  accept_watch();
+  begin_watch();
+  const std::string list =
+      list_json(2, true, {{"s-new", other.address()}, {"s-origin", origin.address(), "origin"}}).dump(2) +
+      "\n";
+  chunk(list.substr(0, list.size() / 2));
+  quiet(30);
+  chunk(list.substr(list.size() / 2) + list_json(3, false, {}).dump(1) + "\n\n");
+  quiet(30);
+  EXPECT_TRUE(read_goes_to(other));
+  agent->close();
+  accept_watch();
+  EXPECT_EQ(agent->got.rfind("GET /discovery/hosts?watch=1&after=3 ", 0), 0U);
+}
+
+// Discovery is down for longer than any back-off, and returns when an attempt has just failed.
+TEST_F(Watched, ADiscoveryThatReturnsJustBehindAFailedTryIsHeardSoon) {
+  FakeServer other(io, [](const std::string&) { return response(200, "y"); });
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  accept_watch();
+  const tcp::endpoint at = discovery.local_endpoint();
+  discovery.close();
+  agent->close();
+  quiet(3'000);  // refused again and again
+  discovery = tcp::acceptor(io, at);
+  const auto back = std::chrono::steady_clock::now();
+  accept_watch();
+  EXPECT_LE(std::chrono::steady_clock::now() - back,
+            roster::kPushed.backoff_most + std::chrono::milliseconds(400));
+  begin_watch();
+  chunk(list_json(2, true, {{"s-new", other.address()}, {"s-origin", origin.address(), "origin"}}).dump() +
+        "\n");
+  quiet(30);
+  EXPECT_TRUE(read_goes_to(other));
+}
+
+// ---- Drains
+
+// Told that it drains while an attempt's copy is due next: the copy goes elsewhere, or nowhere.
+TEST_F(Watched, AServerThatDrainsBeforeACopyIsDueIsSentNoCopy) {
+  FakeServer other(io);
+  start(list_json(1, true,
+                  {{"s-1", cache.address()}, {"s-2", other.address()}, {"s-o", origin.address(), "origin"}}));
+  accept_watch();
+  begin_watch();
+  const auto one = client();
+  one->ask(a_read());
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() + other.requests.size() == 1; }));
+  const bool at_first = !cache.requests.empty();
+  chunk(list_json(
+            2, false,
+            {{at_first ? "s-2" : "s-1", at_first ? other.address() : cache.address(), "box", "terminating"}})
+            .dump() +
+        "\n\n");
+  for (int i = 0; i < 3; ++i) quiet(500), chunk("\n");  // past the delay of a copy
+  EXPECT_EQ(cache.requests.size() + other.requests.size(), 1U);
+}
+
+// The origin could not be reached and the next try waits; then it is told to go, and comes back at its
+// address.
+TEST_F(Watched, AServerThatDrainsWhileANextTryWaitsIsSentNothing) {
+  tcp::acceptor shut(io, any_port());
+  const tcp::endpoint nowhere = shut.local_endpoint();
+  shut.close();
+  start(list_json(1, true, {{"s-1", cache.address()}, {"s-o", text_of(nowhere), "origin"}}));
+  accept_watch();
+  begin_watch();
+  chunk("\n");
+  const auto one = client();
+  one->ask(request_text("PUT", "/pay/1", "pay", "x", "2.0"));
+  ASSERT_TRUE(wait_for(
+      [&] { return host->counts().outcomes[static_cast<std::size_t>(Outcome::connect_failed)] == 1; }));
+  chunk(list_json(2, false, {{"s-o", text_of(nowhere), "origin", "terminating"}}).dump() + "\n");
+  quiet(30);
+  tcp::acceptor back(io, nowhere);
+  bool dialled = false;
+  back.async_accept([&](error_code error, tcp::socket) { dialled = !error; });
+  ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
+  EXPECT_EQ(one->status(), 503);
+  EXPECT_FALSE(dialled);
+}
+
 TEST_F(Watched, ASilentWatchIsGivenUpAndTheOldListStaysInUse) {
   cache.answer = [](const std::string&) { return response(200, "x"); };
   start();
--- /dev/null
+++ b/tests/roster/list_framer_test.cpp
@@ -0,0 +1,60 @@
+// What a watch sends, cut into its lists.
+#include "roster/list_framer.h"
+
+#include <gtest/gtest.h>
+
+namespace streampick::roster {
+namespace {
+
+using Lists = std::vector<std::string>;
+constexpr std::size_t kLongest = 64;
+
+Lists lists(std::string_view bytes, std::size_t piece) {
+  ListFramer framer(kLongest);
+  Lists out;
+  for (; !bytes.empty(); bytes.remove_prefix(std::min(piece, bytes.size())))
+    for (std::string& one : framer.put(bytes.substr(0, piece)).lists) out.push_back(std::move(one));
+  return out;
+}
+
+TEST(ListFramer, ListsComeOutAlikeHoweverTheyAreCutAndIndented) {
+  const std::vector<std::pair<std::string, Lists>> cases = {
+      {"{\"a\":1}\n", {"{\"a\":1}"}},
+      {"\n\n  {\"a\":[{},{}]}\n\n{}\n", {"{\"a\":[{},{}]}", "{}"}},
+      {"{\n  \"a\": [\n 1\n ]\n}\r\n{\"b\":2}\n", {"{\n  \"a\": [\n 1\n ]\n}", "{\"b\":2}"}},
+      {"{}{}", {"{}", "{}"}},
+      {"{\"}\":\"{\\\"}\\\\\"}\n", {"{\"}\":\"{\\\"}\\\\\"}"}},
+      {"nonsense\n{}\n", {"nonsense", "{}"}},
+      {"\"{\" }\n{}\n", {"\"{\" }", "{}"}},
+      {"}\n{}\n", {"}", "{}"}},
+      {"{\"a\":", {}},
+  };
+  for (const auto& [bytes, found] : cases)
+    for (const std::size_t piece : {std::size_t{1}, std::size_t{2}, std::size_t{3}, std::size_t{100}})
+      EXPECT_EQ(lists(bytes, piece), found) << bytes << " in pieces of " << piece;
+}
+
+TEST(ListFramer, OnlyAWholeListOrAnEmptyLineIsASignOfLife) {
+  ListFramer framer(kLongest);
+  EXPECT_FALSE(framer.put("  ").alive);
+  EXPECT_TRUE(framer.put("\n").alive);
+  EXPECT_FALSE(framer.put("{\"a\":\n").alive);
+  EXPECT_FALSE(framer.put("\n\n").alive);  // in its midst
+  EXPECT_TRUE(framer.put("1}").alive);
+}
+
+TEST(ListFramer, AListWithoutEndIsToldAndNotKept) {
+  for (const std::string begin : {"{\"a\":\"", "{", "x"}) {
+    ListFramer framer(kLongest);
+    EXPECT_FALSE(framer.put(begin + std::string(kLongest - begin.size(), 'x')).too_long);
+    EXPECT_TRUE(framer.put("x").too_long);
+  }
+}
+
+TEST(ListFramer, ABracketWithoutItsOtherIsGivenOutOnceItCloses) {
+  // Whoever reads it refuses it: here only the end is found.
+  EXPECT_EQ(lists("{]\n{}\n", 1), (Lists{"{]", "{}"}));
+}
+
+}  // namespace
+}  // namespace streampick::roster
