--- a/src/http1/front.cpp
+++ b/src/http1/front.cpp
@@ -1,5 +1,7 @@
 #include "http1/front.h"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
@@ -16,7 +18,8 @@
 
 namespace {
 
-constexpr std::size_t kMostAhead = kLongestHeader;  // read while a request is in work
+// Read while a request is in work: this much, and more where there is memory for it.
+constexpr std::size_t kMostAhead = kLongestHeader, kMostAheadKept = kLongestHeader + kLongestBody;
 constexpr std::size_t kChunk = 4 * 1024, kMostDiscarded = 1024 * 1024;
 constexpr Time kMs = 1'000, kSecond = 1'000 * kMs;
 constexpr Time kLongestWait = 86'400 * kSecond;
@@ -26,7 +29,8 @@
 // A body may come at 64 kB a second: so much time it is given beyond that, and then a little.
 constexpr Time kPerKilobyte = 18 * kMs;
 constexpr Time kStuck = 10 * kSecond, kLinger = kSecond;
-constexpr Time kYoung = 50 * kMs;  // its first request may still be on its way
+constexpr Time kYoung = 50 * kMs;        // its first request may still be on its way
+constexpr Time kFirstBytes = 500 * kMs;  // ... and no longer than this, once we are to end
 constexpr std::chrono::milliseconds kSweepEvery{100};
 
 std::optional<std::uint64_t> parse_hex(std::string_view text) {
@@ -177,12 +181,20 @@
     error_code ignored;
     return socket_.available(ignored) > 0;
   }
+  // Its client has ended the connection, and we are not reading, so that nothing tells: what it sent ahead or
+  // its body stands in the way.
+  bool gone_unseen() {
+    if (waiting_ || (state_ != State::asked && state_ != State::uploading)) return false;
+    pollfd look{socket_.native_handle(), POLLRDHUP, 0};
+    return ::poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLERR | POLLHUP)) != 0;
+  }
   bool silent() const { return ahead_.empty() && !parser_->got_some(); }
 
   // It has stood still for too long.
   void expire() {
     const bool half_asked = state_ == State::begun || state_ == State::receiving ||
                             state_ == State::uploading || (state_ == State::fresh && !silent());
+    if (state_ == State::idle || (state_ == State::fresh && !half_asked)) return leave();
     if (!half_asked) return close();
     give_upload_up();
     last_ = true;
@@ -195,8 +207,8 @@
   }
 
   // Between requests: what crosses it is sent once more by the client, on a new connection.
-  void close_if_idle() {
-    if ((state_ == State::idle || state_ == State::fresh) && silent() && !unread()) close();
+  void leave_if_idle() {
+    if ((state_ == State::idle || state_ == State::fresh) && silent() && !unread()) leave();
   }
 
   void close() {
@@ -241,8 +253,9 @@
 
   void wait() {
     if (owner_ == nullptr || waiting_) return;
-    if (state_ == State::asked && ahead_.size() > kMostAhead) return;  // again once it is answered
-    if (state_ == State::uploading && held_) return;                   // again once there is room
+    const bool in_work = state_ == State::asked || state_ == State::writing;
+    if (in_work && discarded_ > kMostDiscarded) return;  // again once it is answered
+    if (state_ == State::uploading && held_) return;     // again once there is room
     waiting_ = true;
     socket_.async_read_some(asio::buffer(chunk_),
                             [self = shared_from_this()](error_code error, std::size_t got) {
@@ -268,8 +281,7 @@
       ahead_ += bytes;
       upload_more();
     } else if (state_ == State::asked || state_ == State::writing) {
-      // What is left of a body that nobody wants any more is no request.
-      if (!upload_ended_) ahead_ += bytes;
+      keep_ahead(bytes);
     } else if (ahead_.empty()) {
       ahead_ = bytes.substr(parse(bytes));
       if (state_ == State::uploading) upload_more();
@@ -279,9 +291,27 @@
     }
   }
 
+  // What comes while a request is in work waits for its turn. A client that sends without end is read on, so
+  // that its going is noticed, but what it sends is not kept, and its connection ends behind the answer.
+  void keep_ahead(std::string_view bytes) {
+    // What is left of a body that nobody wants any more is no request.
+    if (upload_ended_) return;
+    const std::size_t all = ahead_.size() + bytes.size();
+    if (!flooded_ && all > kMostAhead && !ahead_lease_ && all <= kMostAheadKept)
+      if (auto lease = owner_->links_.lease(kMostAheadKept)) ahead_lease_ = std::move(*lease);
+    flooded_ = flooded_ || all > (ahead_lease_ ? kMostAheadKept : kMostAhead);
+    if (flooded_) {
+      discarded_ += bytes.size();
+    } else {
+      ahead_ += bytes;
+      more_ = true;
+    }
+  }
+
   void parse_ahead() {
     ahead_.erase(0, parse(ahead_));
     if (state_ == State::uploading) upload_more();
+    if (ahead_.size() <= kMostAhead) ahead_lease_ = {};
     if (ahead_.empty() && ahead_.capacity() > 64) std::string().swap(ahead_);
   }
 
@@ -291,6 +321,7 @@
     if (state_ == State::idle && !bytes.empty()) enter(State::begun);
     error_code failed;
     const std::size_t used = parser_->read(bytes, failed);
+    more_ = used < bytes.size();
     if (failed) {
       last_ = true;
       if (failed == http::error::body_limit) {
@@ -496,8 +527,9 @@
     in_lease_ = {};
     enter(State::writing);
     request_ = 0;
-    last_ = last_ || owner_->draining_;
-    if (!last_ && !owner_->rules_.keep(++answers_, owner_->held())) {
+    // What has come behind this request is ours too, and is answered first.
+    last_ = last_ || flooded_ || (owner_->draining_ && !more_);
+    if (!last_ && !owner_->rules_.keep(++answers_, owner_->held()) && !more_) {
       last_ = true;
       ++owner_->counts_.once;
     }
@@ -602,24 +634,31 @@
     std::string().swap(out_body_);
     lease_ = {};
     ticket_ = {};
-    if (last_) {
-      // A close with unread bytes would reset the connection and could take the answer with it: the
-      // client is given the time to end it first.
-      enter(State::lingering);
-      std::string().swap(ahead_);
-      error_code ignored;
-      socket_.shutdown(tcp::socket::shutdown_send, ignored);
-      return wait();
-    }
+    if (last_) return leave();
     next_message();
     enter(State::idle);
     if (!ahead_.empty()) parse_ahead();
     wait();
   }
 
+  // The one way in which we end a connection that could be used again. A close with unread bytes would reset
+  // it, and could take the last answer with it: it is ended for writing, and what still comes is read and
+  // dropped, within bounds, until the client has ended it too. None of that is ever parsed, so that no
+  // request is sent on that its client will send again elsewhere.
+  void leave() {
+    enter(State::lingering);
+    std::string().swap(ahead_);
+    ahead_lease_ = {};
+    discarded_ = 0;
+    error_code ignored;
+    socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    wait();
+  }
+
   Clients* owner_;  // none once it is closed
   tcp::socket socket_;
   std::string ahead_;  // came, and is not parsed yet
+  Lease ahead_lease_;  // where that is much
   RequestHead head_;
   std::string in_body_, out_head_, out_body_;
   std::optional<RequestReader> parser_;
@@ -635,7 +674,8 @@
   Queue::iterator place_;
   State state_ = State::fresh;
   bool waiting_ = false, last_ = false, told_to_go_on_ = false, checked_ = false, weighed_ = false;
-  bool in_chunks_ = false, part_wanted_ = false, held_ = false, upload_ended_ = false;
+  bool in_chunks_ = false, part_wanted_ = false, held_ = false, upload_ended_ = false, flooded_ = false;
+  bool more_ = false;  // something has come behind the request in hand
   std::array<char, kChunk> chunk_;
 };
 
@@ -682,18 +722,23 @@
     }
     return false;
   };
-  if (!queue(State::lingering).empty()) {
-    const auto session = queue(State::lingering).front();
+  const Time now = clock_.now();
+  // Closed at once, one might lose its answer with bytes that cross it.
+  const auto end_lingering = [&](Time age) {
+    const Queue& lingering = queue(State::lingering);
+    if (lingering.empty() || now - lingering.front()->since() < age) return false;
     ++counts_.spared;
+    const auto session = lingering.front();
     session->close();
     return true;
-  }
-  const Time now = clock_.now();
+  };
+  if (end_lingering(kYoung)) return true;
   const Queue& fresh = queue(State::fresh);
   const Queue& idle = queue(State::idle);
   if (!fresh.empty() && now - fresh.front()->since() >= kYoung && end_first(State::fresh)) return true;
   // A few young ones must not stop a crowd that asks once and stays: what has been idle for long gives way.
   if (!idle.empty() && now - idle.front()->since() >= kSecond && end_first(State::idle)) return true;
+  if (end_lingering(0)) return true;
   if (fresh.size() * 4 > descriptors_.most(kSide)) return false;
   return end_first(State::idle) || end_first(State::begun);
 }
@@ -729,7 +774,7 @@
 
 void Clients::drain() {
   draining_ = true;
-  if (!gentle_) close_idle(0);
+  if (!gentle_) leave_idle();
 }
 
 // Who takes over serves at the same door. A request that crosses the close of its connection would have to
@@ -742,13 +787,14 @@
 
 void Clients::end_drain() { draining_ = false; }
 
-// Those that have stood between requests for so long, or came so long ago and said nothing.
-void Clients::close_idle(Time longest) {
+// All that stand between requests. One that has just come is about to ask: were it ended unanswered, its
+// client would have to count it as refused.
+void Clients::leave_idle() {
   const Time now = clock_.now();
-  for (const State state : {State::fresh, State::idle}) {
+  for (const auto& [state, least] : {std::pair(State::fresh, kFirstBytes), std::pair(State::idle, Time{0})}) {
     const Queue all = queue(state);
     for (const auto& session : all)
-      if (now - session->since() >= longest) session->close_if_idle();
+      if (now - session->since() >= least) session->leave_if_idle();
   }
 }
 
@@ -778,19 +824,22 @@
         session->expire();
       }
   }
+  std::vector<std::shared_ptr<Session>> gone;
+  for (const State state : {State::asked, State::uploading})
+    for (const auto& session : queue(state))
+      if (session->gone_unseen()) gone.push_back(session);
+  for (const auto& session : gone) session->close();
   // Connections go on coming for a little, and some say nothing.
-  if (draining_ && !gentle_) close_idle(kSecond);
+  if (draining_ && !gentle_) leave_idle();
   sweep_.expires_after(kSweepEvery);
   sweep_.async_wait([this](error_code cancelled) {
     if (!cancelled) sweep();
   });
 }
 
+// Also those that have just come, and those whose last answer may still be on its way: both for a short time.
 std::size_t Clients::unanswered() const {
-  const auto half_asked = static_cast<std::size_t>(
-      std::count_if(queue(State::fresh).begin(), queue(State::fresh).end(),
-                    [](const auto& session) { return !session->silent() || session->unread(); }));
-  return half_asked + held() - queue(State::idle).size();
+  return queue(State::fresh).size() + queue(State::lingering).size() + held() - queue(State::idle).size();
 }
 
 }  // namespace streampick::node
--- a/src/http1/front.h
+++ b/src/http1/front.h
@@ -72,14 +72,14 @@
   Queue& queue(State state) { return queues_[static_cast<std::size_t>(state)]; }
   const Queue& queue(State state) const { return queues_[static_cast<std::size_t>(state)]; }
   bool has_place() override;
-  bool is_full() const override { return !descriptors_.has_room(kSide); }
+  bool is_full() const { return !descriptors_.has_room(kSide); }
   void take(boost::asio::ip::tcp::socket socket) override;
   void out_of_descriptors() override { spare_one(); }
   bool spare_one();
   // Connections with a request in work, or between two.
   std::size_t held() const;
   void closed(Queue::iterator place, State state);
-  void close_idle(Time longest);
+  void leave_idle();
   void sweep();  // ends what has stood still for too long
 
   Clock& clock_;
--- a/src/management/front.h
+++ b/src/management/front.h
@@ -41,7 +41,7 @@
   class Session;
   using Sessions = std::list<std::shared_ptr<Session>>;
   bool has_place() override;
-  bool is_full() const override { return sessions_.size() >= kMostConnections; }
+  bool is_full() const { return sessions_.size() >= kMostConnections; }
   void take(boost::asio::ip::tcp::socket socket) override;
   void out_of_descriptors() override { make_room(); }
   bool make_room();
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -62,7 +62,7 @@
 
 void Listener::stop() {
   error_code error;
-  while (!shared_ && acceptor_.is_open() && !owner_.is_full()) {
+  while (!shared_ && acceptor_.is_open() && owner_.has_place()) {
     tcp::socket socket(io_);
     acceptor_.accept(socket, error);
     if (error) break;
--- a/src/net/listener.h
+++ b/src/net/listener.h
@@ -15,8 +15,6 @@
     virtual ~Owner() = default;
     // Whether one more may be accepted now; it may end another connection for that.
     virtual bool has_place() = 0;
-    // Whether one more may be taken without another's end.
-    virtual bool is_full() const = 0;
     virtual void take(tcp::socket socket) = 0;
     // There is no descriptor for the next one: an ended connection would free one.
     virtual void out_of_descriptors() = 0;
--- a/tests/daemon/host_test.cpp
+++ b/tests/daemon/host_test.cpp
@@ -251,14 +251,18 @@
 TEST_F(Loopback, ToldToStopItAnswersWhatItTookAndWhatStillComes) {
   start();
   const auto busy = client(), idle = client();
-  busy->ask(a_read());
+  idle->ask(a_read());
   ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  cache.peers[0]->write(response(200, "x"));
+  ASSERT_TRUE(wait_for([&] { return idle->answers.size() == 1; }));
+  busy->ask(a_read());
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 2; }));
   bool done = false;
   host->drain([&] { done = true; });
   ASSERT_TRUE(wait_for([&] { return idle->peer->ended; }));
   const auto late = client();
   late->ask(request_text("GET", "/read/2", "read"));
-  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 2; }));
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 3; }));
   EXPECT_FALSE(done);
   for (const auto& peer : cache.peers) peer->write(response(200, "x"));
   ASSERT_TRUE(wait_for([&] { return busy->answers.size() == 1 && late->answers.size() == 1; }));
