Cold servers: a budget over the fleet by chance and time; repeats checked on leaving

Followers of an origin read were sent to the starting server unasked (origin.h, hand_over). Change: Plan::part_of: by chance, at most the settings' multiple of the server's part of this router's usual load, growing with the time since the last such attempt, spent by the draw (fractions carried over time, no least part). Repeats that wait in the origin's line or for a filled server are checked again. Quotas saved up go when the tenants change.

--- a/include/streampick/router.h
+++ b/include/streampick/router.h
@@ -51,6 +51,7 @@
 
 struct Tenant {
   double quota_per_s = 0;  // over all routers together; 0 means no quota
+  friend bool operator==(const Tenant&, const Tenant&) = default;
 };
 
 struct Config {
@@ -70,6 +71,7 @@
   double handshake_cost = 0;   // price of new connections, for each request
   double cold_share = 1;       // a starting server can do at least this share of its work ...
   Time cold_time = 0;          // ... and all of it after this time
+  double fall_multiple = 0;    // it falls when all routers send it this much of what it can do; 0: not told
   std::vector<RequestClass> classes;
   std::vector<Tenant> tenants;
 };
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -73,12 +73,11 @@
   }
 
   void adjust_limit() {
-    const int in_flight = cache_in_flight_;
     double& limit = cache_limit_.value;
     if (crowding_ > kCrowdedPerAim) {
       const double least = std::max(kLimitLeast * even_part(), std::min(1.0, kLimitStart * even_part()));
-      limit = std::max(least, std::min<double>(limit, in_flight + 1) * kShedDown);
-    } else if (limit_used_ || in_flight >= limit * 0.7) {
+      limit = std::max(least, std::min<double>(limit, cache_in_flight_ + 1) * kShedDown);
+    } else if (limit_used_ || cache_in_flight_ >= limit * 0.7) {
       limit = std::min(1e9, limit * kShedUp);
     }
     limit_used_ = false;
--- a/src/policy/origin.h
+++ b/src/policy/origin.h
@@ -54,7 +54,7 @@
         if (!stale && !missed && (!usable || !room || !origin_place())) break;
         line.pop_front();
         if (stale) continue;
-        if (missed || open.sent >= most_attempts(open)) {
+        if (missed || open.sent >= most_attempts(open) || !may_send_again(open)) {
           give_up(slot);
           continue;
         }
@@ -120,8 +120,12 @@
       Open& waits = open_[follower];
       if (waits.over || waits.origin != OriginUse::following) continue;
       waits.origin = OriginUse::none;
-      const bool there = filled && at != kNone && in_plan(servers_[at]) && attempts_left(waits) > 0;
-      there ? send(follower, at) : ask_origin(follower);
+      const bool more = attempts_left(waits) > 0 && may_send_again(waits);
+      const bool there = filled && more && at != kNone && in_plan(servers_[at]);
+      // A starting server was filled for its part of the attempts only: the next one has the value too, or
+      // gets it.
+      const ServerId to = there && ramp(servers_[at]) < 1 ? pick(waits, false) : at;
+      there&& to != kNone ? send(follower, to) : ask_origin(follower);
     }
   }
 };
--- a/src/policy/plan.h
+++ b/src/policy/plan.h
@@ -27,6 +27,15 @@
     return config_.cold_share + (1 - config_.cold_share) * warm;
   }
 
+  // The part of the first attempts on its keys that a starting server gets, by chance: what it can do by now,
+  // and in sum over all routers at most the settings' multiple of that part of its usual load. Each router's
+  // share, mostly far below one, grows with the time since it had something to send; the draw spends it.
+  double part_of(const Server& server, double warm) const {
+    if (config_.fall_multiple <= 0 || gap_ <= 0 || healthy_ <= 0) return warm;
+    const double usual = server.weight / healthy_ * static_cast<double>(now_ - server.wanted) / gap_;
+    return warm * std::min(1.0, config_.fall_multiple * usual);
+  }
+
   static double rank(std::uint64_t hash, double weight) { return -weight / std::log(to_unit(mix(hash))); }
 
   void look_at(Server& server) {
@@ -79,6 +88,8 @@
     double best_score = -1, fallback_score = -1;
     for (std::uint64_t leaf = 0; leaf < (index_.split() ? kLeaves : 1) && best == kNone; ++leaf) {
       const std::uint64_t own = leaf == 0 ? key : mix(key + leaf);
+      ServerId passed = kNone;
+      double passed_score = -1;
       for (const policy::PlanIndex::Entry& entry : index_.leaf(own, rank)) {
         const ServerId id = entry.id;
         Server& server = servers_[id];
@@ -86,15 +97,15 @@
         bool tried = false;
         for (std::uint32_t i = 0; i < open.sent; ++i) tried |= open.attempts[i].server == id;
         if (tried || server.full_until > now_) continue;
-        const double warm = ramp(server);
-        // A starting server gets part of the first attempts on its keys, by chance: so a popular key spends
-        // no more of what it can do than its part, and no key moves again while it warms up.
-        if (warm < 1 && (for_copy || open.sent > 0 || chance >= warm)) continue;
-        const double weight = std::max(1e-3, server.weight);
+        const double warm = ramp(server), weight = std::max(1e-3, server.weight);
+        const double score = rank(own ^ server.member.identity, weight);
+        if (warm < 1 && (for_copy || open.sent > 0 || chance >= part_of(server, warm))) {
+          if (score > passed_score) passed = id, passed_score = score;
+          continue;
+        }
         const double bound =
             std::max(std::ceil(kBound * (cache_in_flight_ - stuck_ + 1) * weight / std::max(healthy_, 1e-3)),
                      warm < 1 ? 1.0 : floor);
-        const double score = rank(own ^ server.member.identity, weight);
         const bool bad = server.off && healthy_ > 0;
         if (!bad && server.in_flight - server.stuck < bound) {
           if (score > best_score) best = id, best_score = score;
@@ -103,6 +114,8 @@
           if (spare > fallback_score) fallback = id, fallback_score = spare;
         }
       }
+      const ServerId first = passed_score > best_score ? passed : best;
+      if (!for_copy && open.sent == 0 && first != kNone) servers_[first].wanted = now_;
     }
     return best != kNone ? best : fallback;
   }
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -114,7 +114,9 @@
           look_around();
           break;
         case Wake::idle: close_idle(); break;
-        case Wake::watch: watch(); break;
+        case Wake::watch:
+          if (!watching_ && now_ >= ask_at_) sink_.watch_members();
+          break;
         case Wake::line: break;  // the lines are served below
       }
     }
@@ -122,21 +124,10 @@
     drain_origin_line();
   }
 
-  // Where the list must be asked: again after a failure, with backoff and jitter; the old one stays in use.
-  void ask_after(Time wait) {
-    ask_at_ = now_ + wait;
-    add_timer(ask_at_, Wake::watch);
-  }
-
-  void watch() {
-    if (watching_ || now_ < ask_at_) return;  // a later time was set since this timer was
-    sink_.watch_members();
-    ask_after(kAskAgain);  // should no answer come at all
-  }
-
   // All but what is in flight, and its place in the plan.
-  static void forget(Server& server) {
+  void forget(Server& server) const {
     Server fresh;
+    fresh.wanted = now_;
     std::tie(fresh.in_flight, fresh.stuck, fresh.answers, fresh.planned, fresh.counted) =
         std::tie(server.in_flight, server.stuck, server.answers, server.planned, server.counted);
     server = fresh;
@@ -145,14 +136,9 @@
   void on_members(Time now, Update update, std::span<const Member> members) {
     now_ = now;
     watching_ = !config_.must_ask || (update != Update::stale && update != Update::failed);
-    if (watching_) {
-      ask_backoff_ = 0;
-    } else if (update == Update::stale) {
-      ask_after(times(kSecond, draw()));
-    } else {
-      ask_backoff_ = std::clamp(ask_backoff_ * 2, kAskFirst, kAskMost);
-      ask_after(times(ask_backoff_, 0.5 + draw()));
-    }
+    // Where the list must be asked: again after a failure, with jitter; the old one stays in use.
+    const Time wait = update == Update::stale ? times(kSecond, draw()) : times(kAskAfter, 0.5 + draw());
+    if (!watching_) add_timer(ask_at_ = now_ + wait, Wake::watch);
     if (update == Update::failed) return;
     if (update != Update::changes)
       for (Server& server : servers_) server.listed = false;
--- a/src/policy/servers.h
+++ b/src/policy/servers.h
@@ -7,13 +7,12 @@
 namespace streampick::policy {
 
 inline constexpr Time kEjectMost = 8 * kSecond;
-inline constexpr std::uint32_t kOvertaken = 4;  // answers to others since an attempt was sent: it is stuck
-inline constexpr int kSpoiltToDoubt = 2;        // spoilt or cut off in a row: the next server is asked ...
-inline constexpr int kSpoiltToStrike = 5;       // ... and it is the server, not what befalls all alike
-inline constexpr double kSpeedPower = 0.75;     // weight = speed to this power
-inline constexpr double kSpeedRange = 4;        // ... within this factor of the mean
-inline constexpr double kKindPrior = 0.02;      // of all answers: how many a kind needs to be told apart
-inline constexpr Time kReweigh = kSecond;
+inline constexpr std::uint32_t kOvertaken = 4;   // answers to others since an attempt was sent: it is stuck
+inline constexpr int kSpoiltToDoubt = 2;         // spoilt or cut off in a row: the next server is asked ...
+inline constexpr int kSpoiltToStrike = 5;        // ... and it is the server, not what befalls all alike
+inline constexpr double kSpeedPower = 0.75;      // weight = speed to this power
+inline constexpr double kSpeedRange = 4;         // ... within this factor of the mean
+inline constexpr double kKindPrior = 0.02;       // of all answers: how many a kind needs to be told apart
 inline constexpr std::size_t kLookAround = 512;  // servers of a large fleet, each tick
 inline constexpr Time kKeepLeast = kSecond / 50;
 inline constexpr double kKeepDown = 0.5, kKeepUp = 1.02;  // steps of it: a refused connection, a new one
@@ -63,8 +62,7 @@
       case Outcome::timeout:
         if (!attempt.struck) strike(server, true);
         break;
-      case Outcome::cancelled:
-      case Outcome::not_sent: break;
+      default: break;
     }
     if (result.outcome != Outcome::served || !in_plan(server)) return;
     double& usual = class_took_[open.request.request_class];
@@ -152,7 +150,7 @@
   // A small plan at once, each second; a large one in parts, so that no tick walks over all.
   void look_around() {
     if (!index_.split()) {
-      if (now_ - last_reweigh_ < kReweigh) return;
+      if (now_ - last_reweigh_ < kSecond) return;
       last_reweigh_ = now_;
       Speeds speeds;
       for (const ServerId id : plan_) count_speed(speeds, servers_[id]);
--- a/src/policy/state.h
+++ b/src/policy/state.h
@@ -28,9 +28,8 @@
 inline constexpr double kCrowdedPerAim = 0.35;    // cache answers slower than this share of the aim: crowded
 inline constexpr std::uint32_t kPricedConnections = 100;  // for each server, by the protocol
 inline constexpr Time kKeepSeldom = kSecond / 2;          // an idle connection that is used seldom and costs
-inline constexpr Time kAskFirst = kSecond / 5, kAskMost = 2 * kAskFirst;  // roster/watch_times.h adds these up
-inline constexpr Time kAskAgain = 5 * kSecond;
-inline constexpr Time kTick = 200'000;  // of the limits, and of held requests that try again
+inline constexpr Time kAskAfter = 300'000;  // between calls for the list: roster/watch_times.h adds them up
+inline constexpr Time kTick = 200'000;      // of the limits, and of held requests that try again
 
 // 64-bit finalizer (splitmix64): the only mixing function, for plans and for random draws.
 inline std::uint64_t mix(std::uint64_t x) {
@@ -62,12 +61,12 @@
   Health health, *zone = nullptr, *cell = nullptr;
   // Decayed sums of what answers took and of what they were expected to take.
   double took = 0, expected = 0;
-  double weight = 1;   // nominal x learned speed; slow start comes on top
-  double counted = 0;  // its part of healthy_
-  Time full_until = 0;
-  int spoilt = 0;             // attempts in a row that a bad answer or the connection's end spoilt
-  Time linked = 0, used = 0;  // when its connection was last in use, 0: none is open; when one was
-  bool off = false;           // when it was last looked at
+  double weight = 1;                // nominal x learned speed; slow start comes on top
+  double counted = 0;               // its part of healthy_
+  Time full_until = 0, wanted = 0;  // wanted: while it starts, when a first attempt last came to it by rank
+  int spoilt = 0;                   // attempts in a row that a bad answer or the connection's end spoilt
+  Time linked = 0, used = 0;        // when its connection was last in use, 0: none is open; when one was
+  bool off = false;                 // when it was last looked at
   bool planned = false;
 };
 
@@ -119,8 +118,7 @@
   State(Config config, std::uint64_t seed, Time now, ActionSink& sink)
       : config_(std::move(config)), sink_(sink), random_(seed), now_(now) {
     configure(config_);
-    if (config_.keep_alive > 0) keep_most_ = config_.keep_alive;
-    keep_ = keep_most_;
+    keep_ = keep_most_ = config_.keep_alive > 0 ? config_.keep_alive : kLong;
     add_timer(now_ + kTick, Wake::tick);
   }
 
@@ -136,6 +134,7 @@
       if (!next.aside || kind.effect == Effect::safe) most_worth_ = std::max(most_worth_, kind.worth);
     }
     class_took_ = std::move(took);
+    if (next.tenants != config_.tenants) tenants_.clear();  // what was saved up is another's
     tenants_.resize(next.tenants.size());
     next.routers = std::max(1U, next.routers);
     config_ = std::move(next);
@@ -244,7 +243,7 @@
   bool limit_used_ = false;  // it held work back since the last tick
   Limit cache_limit_;        // cache work in flight above which reads are shed; 0: no list yet
 
-  Time ask_at_ = 0, ask_backoff_ = 0;
+  Time ask_at_ = 0;
   bool watching_ = false;
 };
 
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -175,6 +175,7 @@
   config.answer_slack = pairs.integer<Time>("Guarantees.AnswerSlackUs", 0);
   config.cold_share = pairs.number("Guarantees.ColdShare", 1, std::numeric_limits<double>::min(), 1);
   config.cold_time = pairs.integer<Time>("Guarantees.ColdUs", 0);
+  config.fall_multiple = pairs.number("Guarantees.OverloadFactor", 0);
   out.may_talk = pairs.yes("PolicyLimits.PeerMessages");
   out.me = pairs.integer<std::uint32_t>("Me", 0);
   out.drain_grace = pairs.integer<Time>("Guarantees.StopSendingWithinUs", 0);
