Processes: full descriptors, many starts at once, signals while stopping, each forced

Change: tests on the real process, held to its descriptors by the kernel; no fault found there, the code is unchanged.

--- a/tests/daemon/program_test.cpp
+++ b/tests/daemon/program_test.cpp
@@ -1,5 +1,6 @@
 // The program as it is started: its configuration and its signals.
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -63,13 +64,15 @@
     std::filesystem::rename(next, config_);
   }
   std::string config_text(const std::string& discovery_address) {
-    nlohmann::json json = config_json(
-        discovery_address,
-        list_json(1, true, {{"s-cache", cache.address()}, {"s-origin", origin.address(), "origin"}}));
+    if (known_.is_null())
+      known_ = list_json(1, true, {{"s-cache", cache.address()}, {"s-origin", origin.address(), "origin"}});
+    nlohmann::json json = config_json(discovery_address, known_);
     json["listen"] = text_of(listen_);
+    json["limits"]["sockets"] = sockets_;
     return json.dump();
   }
-  void run() {
+  // `held`: to no more than the configuration says, as the platform does.
+  void run(bool held = false) {
     tcp::acceptor free(io, any_port());
     listen_ = free.local_endpoint();
     free.close();
@@ -78,6 +81,9 @@
     ASSERT_GE(child_, 0);
     if (child_ == 0) {
       ::setenv("NODE_CONFIG", config_.c_str(), 1);
+      const rlimit most{sockets_, sockets_};
+      if (held) ::setrlimit(RLIMIT_NOFILE, &most);
+      for (int fd = 3; fd < 4'096; ++fd) ::close(fd);
       ::execl(STREAMPICK_ROUTER, STREAMPICK_ROUTER, nullptr);
       ::_exit(127);
     }
@@ -110,6 +116,8 @@
   std::filesystem::path config_;
   tcp::endpoint listen_;
   pid_t child_ = 0;
+  rlim_t sockets_ = 256;
+  nlohmann::json known_;  // before the start; null: the cache and the origin
 };
 
 TEST_F(Running, SighupTakesTheNewConfigurationAndABadOneChangesNothing) {
@@ -136,6 +144,117 @@
   EXPECT_EQ(exit_code_of_child(), 0);
 }
 
+TEST_F(Running, ASecondSigtermAndASighupWhileItStopsChangeNothing) {
+  run();
+  FakeClient one(io, listen_);
+  one.ask(a_read());
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == 1; }));
+  for (int i = 0; i < 3; ++i) {
+    signal(SIGTERM);
+    quiet(50);
+    signal(SIGHUP);
+    quiet(50);
+  }
+  cache.peers[0]->write(response(200, "x"));
+  ASSERT_TRUE(wait_for([&] { return one.answers.size() == 1; }));
+  EXPECT_EQ(one.status(), 200);
+  EXPECT_EQ(exit_code_of_child(), 0);
+}
+
+// It knows no server, and discovery has accepted its watch and says nothing.
+TEST_F(Running, ToldToStopBeforeTheFirstListItAnswersAndEnds) {
+  known_ = list_json(1, true, {});
+  run();
+  ASSERT_TRUE(watched(discovery));
+  FakeClient one(io, listen_);
+  one.ask(a_read());
+  quiet(50);
+  signal(SIGTERM);
+  ASSERT_TRUE(wait_for([&] { return one.answers.size() == 1; }));
+  EXPECT_EQ(one.status(), 503);
+  EXPECT_EQ(exit_code_of_child(), 0);
+}
+
+// Three times as many as there are descriptors rest with the router while discovery can't be had. On its
+// return the list is read, and requests are served by a server that only it names.
+TEST_F(Running, IdleClientsThatFillTheDescriptorsKeepNeitherDiscoveryNorServersOut) {
+  FakeServer other(io, [](const std::string&) { return response(200, "y"); });
+  sockets_ = 128;
+  known_ = list_json(1, true, {});
+  const tcp::endpoint at = discovery.local_endpoint();
+  run(true);
+  discovery.close();
+  std::vector<std::unique_ptr<tcp::socket>> idle;
+  for (int i = 0; i < 400; ++i) {
+    idle.push_back(std::make_unique<tcp::socket>(io));
+    error_code ignored;
+    idle.back()->connect(listen_, ignored);
+    if (i % 2 == 0) asio::write(*idle.back(), asio::buffer(std::string("GET /up HTTP/1.1\r\n\r\n")), ignored);
+    if (i % 50 == 0) quiet(20);
+  }
+  quiet(300);
+  discovery = tcp::acceptor(io, at);
+  accept_watch();
+  begin_watch();
+  chunk(list_json(2, true, {{"s-new", other.address()}, {"s-origin", origin.address(), "origin"}}).dump() +
+        "\n");
+  EXPECT_TRUE(serves());
+  EXPECT_EQ(other.requests.size(), 1U);
+}
+
+// Twenty at once, and discovery takes their calls and answers none: what is needed to serve is known before.
+TEST_F(Running, ManyThatStartAtOnceAreReadyThoughDiscoveryIsSlow) {
+  std::vector<pid_t> children;
+  std::vector<tcp::endpoint> doors;
+  std::vector<std::filesystem::path> files;
+  for (int i = 0; i < 20; ++i) {
+    tcp::acceptor free(io, any_port());
+    doors.push_back(free.local_endpoint());
+    free.close();
+    listen_ = doors.back();
+    files.push_back(config_.string() + "." + std::to_string(i));
+    std::ofstream(files.back()) << config_text(text_of(discovery.local_endpoint()));
+  }
+  std::vector<std::shared_ptr<Peer>> watches;
+  std::function<void()> accept = [&] {
+    discovery.async_accept([&](error_code error, tcp::socket socket) {
+      if (error) return;
+      watches.push_back(std::make_shared<Peer>(std::move(socket)));
+      accept();
+    });
+  };
+  accept();
+  const auto began = std::chrono::steady_clock::now();
+  for (const auto& file : files) {
+    children.push_back(::fork());
+    ASSERT_GE(children.back(), 0);
+    if (children.back() != 0) continue;
+    ::setenv("NODE_CONFIG", file.c_str(), 1);
+    for (int fd = 3; fd < 4'096; ++fd) ::close(fd);
+    ::execl(STREAMPICK_ROUTER, STREAMPICK_ROUTER, nullptr);
+    ::_exit(127);
+  }
+  std::size_t ready = 0;
+  for (const tcp::endpoint& door : doors)
+    ready += wait_for([&] {
+      tcp::socket probe(io);
+      error_code error;
+      probe.connect(door, error);
+      if (error) return false;
+      asio::write(probe, asio::buffer(std::string("GET /up HTTP/1.1\r\n\r\n")), error);
+      std::array<char, 12> answer{};
+      asio::read(probe, asio::buffer(answer), error);
+      return !error && std::string(answer.data(), answer.size()) == "HTTP/1.1 200";
+    });
+  EXPECT_EQ(ready, doors.size());
+  EXPECT_LT(std::chrono::steady_clock::now() - began, std::chrono::seconds(10));
+  for (const pid_t child : children) ::kill(child, SIGKILL);
+  for (const pid_t child : children) ::waitpid(child, nullptr, 0);
+  for (const auto& file : files) std::filesystem::remove(file);
+  discovery.close();
+  quiet(10);
+}
+
 TEST_F(Running, SighupWhileItStopsDoesNotEndIt) {
   run();
   FakeClient one(io, listen_);
