Connections at rest: up to 64 to a quick server, so that settling costs it no throughput

Cause: a quick server's connections settled for 10 ms each while the module lets only some attempts out, 1,600 reads a second at most (transport.cpp, dial_for_those_who_wait); what stood in line for 0.4 s went to the origin, which hangs in that test. Change: where answers take under 50 ms a connection more is made, up to 64 to a server and within its descriptors, without taking any from others. Tests: RequestsWithoutAPauseUseAFewConnectionsInTurn; three tests leave 30 ms where reuse is not in question.

--- a/src/http1/transport.cpp
+++ b/src/http1/transport.cpp
@@ -22,8 +22,9 @@
 // Where answers take much longer than that, a read that may be repeated need not wait for it: what comes too
 // soon behind another answer is then hardly ever its own, and is not taken for it.
 constexpr double kSlow = 5 * kSettled;
-// Where several wait for connections to settle, so many more are made to one server, to have some at rest.
-constexpr std::size_t kAtRest = 16;
+// Elsewhere, and where several wait for connections to settle, up to so many are made to one server, to have
+// some at rest.
+constexpr std::size_t kAtRest = 64;
 constexpr std::chrono::seconds kStalled{5};  // without a byte of an answer that is passed on
 constexpr Time kStalledUs = std::chrono::microseconds(kStalled).count();
 constexpr double kForget = 0.05;  // of the usual time, with each answer
@@ -612,12 +613,14 @@
   });
 }
 
-// A connection that settles soon is worth a short wait: a new one costs its server more.
+// A connection that settles soon is worth a short wait where answers take long: a new one costs its server
+// more.
 void Upstream::dial_for_those_who_wait() {
   while (waiting_.size() > dialling_.size()) {
     const bool must = waiting_.size() > dialling_.size() + idle_.size();
     const std::size_t open = idle_.size() + busy_.size() + dialling_.size();
-    if (!must && (waiting_.size() < 2 + dialling_.size() || open >= kAtRest || !links_.has_room())) return;
+    const bool worth = usual_ < kSlow || waiting_.size() > dialling_.size() + 1;
+    if (!must && (!worth || open >= kAtRest || !links_.has_room())) return;
     if (!links_.has_room()) links_.free_a_connection();
     if (!links_.has_room()) {
       log("no descriptor left for a connection to " + name_);
--- a/tests/daemon/host_test.cpp
+++ b/tests/daemon/host_test.cpp
@@ -34,6 +34,7 @@
   one->ask(a_read());
   ASSERT_TRUE(wait_for([&] { return one->answers.size() == 1; }));
   EXPECT_EQ(one->body(), "from the origin");
+  quiet(30);  // the origin's connection may be used again
   one->ask(
       request_text("PUT", "/save/7f3a9c21e0b4d655?v=2", "save", "value", "8", "Idempotency-Key: k1\r\n"));
   ASSERT_TRUE(wait_for([&] { return one->answers.size() == 2; }));
--- a/tests/http1/upload_test.cpp
+++ b/tests/http1/upload_test.cpp
@@ -60,6 +60,7 @@
   ASSERT_EQ(origin.requests.size(), 1U);
   EXPECT_TRUE(body_of(origin.requests[0]) == body);
   EXPECT_TRUE(wait_for([&] { return *host->links().large == 0; }));
+  quiet(30);
   one->ask(request_text("PUT", "/pay/1", "pay", "x"));
   EXPECT_TRUE(wait_for([&] { return one->answers.size() == 2; }));
   EXPECT_EQ(origin.peers.size(), 1U);  // and so is the server's
--- a/tests/http1/upstream_test.cpp
+++ b/tests/http1/upstream_test.cpp
@@ -14,11 +14,28 @@
   for (std::size_t i = 1; i <= 5; ++i) {
     one->ask(a_read());
     ASSERT_TRUE(wait_for([&] { return one->answers.size() == i; }));
+    quiet(30);
   }
   EXPECT_EQ(cache.requests.size(), 5U);
   EXPECT_EQ(cache.peers.size(), 1U);
 }
 
+// A quick server's connections settle longer than its answers take: a few more are made, and those are
+// enough.
+TEST_F(Loopback, RequestsWithoutAPauseUseAFewConnectionsInTurn) {
+  cache.answer = [](const std::string&) { return response(200, "x"); };
+  start();
+  const auto one = client();
+  for (std::size_t i = 1; i <= 200; ++i) {
+    one->ask(a_read());
+    ASSERT_TRUE(wait_for([&] { return one->answers.size() == i; }));
+  }
+  EXPECT_EQ(cache.requests.size(), 200U);
+  EXPECT_GT(cache.peers.size(), 1U);
+  EXPECT_LE(cache.peers.size(), 64U);
+  for (std::size_t i = 0; i < 200; ++i) EXPECT_EQ(one->status(i), 200);
+}
+
 TEST_F(Loopback, AnIdleConnectionThatTheServerClosedIsNoticedAndNotUsed) {
   cache.answer = [](const std::string&) { return response(200, "x"); };
   start();
