--- a/src/http1/transport.cpp
+++ b/src/http1/transport.cpp
@@ -621,7 +621,7 @@
   while (waiting_.size() > dialling_.size()) {
     const bool must = waiting_.size() > dialling_.size() + idle_.size();
     const std::size_t open = idle_.size() + busy_.size() + dialling_.size();
-    const bool worth = usual_ < kSlow || waiting_.size() > dialling_.size() + 1;
+    const bool worth = (usual_ > 0 && usual_ < kTooSoon) || waiting_.size() > dialling_.size() + 1;
     if (!must && (!worth || open >= kAtRest || !links_.has_room())) return;
     if (!links_.has_room()) links_.free_a_connection();
     if (!links_.has_room()) {
