--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -e
 root=$(cd "$(dirname "$0")/.." && pwd)
 mkdir -p "$root/build-review-2"
-for source in "$root"/review/*/case.cpp; do
+for source in "$root"/review/*/program.cpp; do
   number=$(basename "$(dirname "$source")")
   case $number in 6 | 7 | 8 | 9 | 10) ;; *) continue ;; esac
   "${CXX:-c++}" -std=c++20 -O1 -Wall -Wextra -pthread -I "$root/review/common-2" \
