Upstream: a repeat whose window is over is neither written on nor delivered

Its repeat began within the window and went on being written when the server had forgotten the key.

Cause: begin_by was checked before the first byte only; a server begins a request with its last byte. The kernel also delivers what it has taken, even after an orderly close.

Change: a timer at begin_by ends an attempt whose bytes have not all been acknowledged; a connection that is given up with undelivered bytes is closed by a reset. No class, size or site is treated apart.

--- a/src/engine/open_request.h
+++ b/src/engine/open_request.h
@@ -64,7 +64,7 @@
 /// The latest time at which the last attempt of `request` may begin, by its class's rules; kNever for safe
 /// requests. Servers discard repeats of an idempotent request for a window from the first byte of the first
 /// attempt that may have run. That byte left when the attempt was sent, or later; a tenth of the window is
-/// reserved for delays up to the server.
+/// reserved for delays up to the server. A server begins a request when its last byte has arrived.
 Time latest_start_of_last_attempt(const OpenRequest& request, const RequestClass& rules);
 
 }  // namespace streampick::engine
--- a/src/engine/upstream.h
+++ b/src/engine/upstream.h
@@ -35,8 +35,8 @@
   virtual ~Upstream() = default;
   /// `address` is "host:port". Connections to a former address take no new attempt.
   virtual void set_address(const std::string& address) = 0;
-  /// Starts an attempt. None of its bytes is written at `begin_by` or later, and its response is not waited
-  /// for beyond `expires`.
+  /// Starts an attempt. The server may begin it only before `begin_by`: bytes that have not reached it by
+  /// then are not sent any more. The response is not waited for beyond `expires`.
   virtual void send(AttemptId attempt, std::shared_ptr<const Message> message, Time expires,
                     Time begin_by) = 0;
   /// Stops an attempt; no outcome is reported.
--- a/src/http1/upstream_attempt.h
+++ b/src/http1/upstream_attempt.h
@@ -17,7 +17,7 @@
   engine::AttemptId id;
   std::shared_ptr<const engine::Message> message;
   Time expires = 0;        ///< when the wait for its response ends
-  Time begin_by = kNever;  ///< its first byte must be written before this time
+  Time begin_by = kNever;  ///< its last byte must have reached the server before this time
 };
 
 /// Attempts that wait for a connection, in order of arrival.
--- a/src/http1/upstream_connection.cpp
+++ b/src/http1/upstream_connection.cpp
@@ -57,9 +57,19 @@
   owner_->resources_.connections.on_closed();
   owner_ = nullptr;
   state_ = State::closed;
+  close_socket();
+  timer_.cancel();
+}
+
+// A request that was given up must not reach the server later, so what the kernel still holds of it is
+// discarded.
+void UpstreamConnection::close_socket() {
+  if (attempt_ && net::has_undelivered_bytes(socket_)) {
+    net::close_by_reset(socket_);
+    return;
+  }
   net::error_code ignored;
   socket_.close(ignored);
-  timer_.cancel();
 }
 
 // ---- Idle connections
@@ -91,10 +101,30 @@
   decoder_.start(std::max<std::uint64_t>(kMaxBufferedResponse, resources.streaming.max_body));
   writer_.start(*attempt_->message, owner_->name_, attempt_->expires, owner_->clock_.fresh());
   if (attempt_->message->upload) subscribe_to_upload();
+  if (attempt_->begin_by != kNever) watch_begin_deadline();
   write_request();
   read();
 }
 
+// A server begins a request when its last byte has arrived. What has not arrived by `begin_by` must not arrive
+// any more.
+void UpstreamConnection::watch_begin_deadline() {
+  const Time wait = std::max<Time>(0, attempt_->begin_by - owner_->clock_.fresh());
+  timer_.expires_after(std::chrono::microseconds(wait));
+  timer_.async_wait([self = shared_from_this(), id = attempt_->id](net::error_code cancelled) {
+    const bool is_current = !cancelled && self->attempt_ && self->attempt_->id == id;
+    if (is_current) self->on_begin_deadline();
+  });
+}
+
+void UpstreamConnection::on_begin_deadline() {
+  if (state_ == State::sending) {
+    finish(Outcome::connect_failed, {}, false);
+  } else if (net::has_undelivered_bytes(socket_)) {
+    finish(Outcome::reset, {}, false);
+  }
+}
+
 // The downstream calls on_readable while it reads from the client, so the write to the server is posted to
 // the event loop.
 void UpstreamConnection::subscribe_to_upload() {
@@ -127,7 +157,8 @@
 }
 
 bool UpstreamConnection::may_resume_writing() const {
-  if (writer_.is_deadline_stale(owner_->clock_.fresh())) return false;
+  const Time now = owner_->clock_.fresh();
+  if (now >= attempt_->begin_by || writer_.is_deadline_stale(now)) return false;
   return owner_->observer_.may_write(attempt_->id).has_value();
 }
 
@@ -288,6 +319,8 @@
   const engine::AttemptId id = attempt_->id;
   const bool cancelled = state_ == State::draining;
   const Time now = owner.clock_.now();
+  const bool discards_request = !reusable && net::has_undelivered_bytes(socket_);
+  if (discards_request) net::close_by_reset(socket_);
   attempt_.reset();
   body_memory_ = {};
   writer_.clear();
--- a/src/http1/upstream_connection.h
+++ b/src/http1/upstream_connection.h
@@ -12,9 +12,11 @@
 /// | sending    | last byte of the request written                   | receiving                     |
 /// |            | ... after bytes had been received: malformed       | closed                        |
 /// |            | write failed, upload truncated, bytes in an upload | closed                        |
+/// |            | `begin_by` reached                                 | closed                        |
 /// | receiving  | response complete                                  | idle, or closed if not reusable |
 /// |            | body too long or too slow to buffer                | streaming                     |
 /// |            | drain()                                            | draining                      |
+/// |            | `begin_by` reached with bytes undelivered          | closed                        |
 /// |            | malformed, broken                                  | closed                        |
 /// | draining   | response complete                                  | idle, or closed if not reusable |
 /// |            | malformed, broken, drain time over                 | closed                        |
@@ -95,8 +97,11 @@
   static constexpr std::size_t kReadBufferSize = std::size_t{16} * 1024;
 
   void on_connect_ended(bool connected);
+  void close_socket();
 
   void subscribe_to_upload();
+  void watch_begin_deadline();
+  void on_begin_deadline();
   void write_request();
   void wait_writable();
   bool may_resume_writing() const;
@@ -132,7 +137,7 @@
   State state_ = State::connecting;
   net::tcp::endpoint server_;
   net::tcp::socket socket_;
-  // For the connect timeout, buffering time, drain time or stall check, of which only one runs at a time.
+  // For the connect timeout, `begin_by`, the buffering time, drain time or stall check. Only one runs at a time.
   boost::asio::steady_timer timer_;
   std::optional<UpstreamAttempt> attempt_;
   RequestWriter writer_;
--- a/src/net/tcp.cpp
+++ b/src/net/tcp.cpp
@@ -1,5 +1,8 @@
 #include "net/tcp.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <charconv>
 #include <cstdint>
 #include <limits>
@@ -25,4 +28,15 @@
   return tcp::endpoint(address, static_cast<std::uint16_t>(port));
 }
 
+bool has_undelivered_bytes(tcp::socket& socket) {
+  int bytes = 0;
+  return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
+void close_by_reset(tcp::socket& socket) {
+  error_code ignored;
+  socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
 }  // namespace streampick::net
--- a/tests/http1/deadline_test.cpp
+++ b/tests/http1/deadline_test.cpp
@@ -249,5 +249,65 @@
   EXPECT_EQ(record.ended[0].second, Outcome::connect_failed);
 }
 
+// The server stops reading in the middle of a request, and reads on when the window for repeats is over.
+class PartiallyReadRepeat : public PartiallyWrittenHead {
+ protected:
+  static constexpr Time kWindow = 200'000;
+  /// Fits into the kernel's buffer for sending, and not into the server's small one for receiving.
+  static constexpr std::size_t kSmallBody = 100'000;
+  /// Longer than both buffers together.
+  static constexpr std::size_t kLongBody = 8'000'000;
+  static constexpr int kSmallBuffer = 4'096;
+
+  PartiallyReadRepeat() {
+    message->target = "/save/1";
+    message->operation = engine::Operation::write;
+    // Connections that wait in the queue take the option over.
+    slow_server.set_option(asio::socket_base::receive_buffer_size(kSmallBuffer));
+  }
+  /// Sends a repeat whose window ends in kWindow, lets the window pass, and returns how many bytes of the
+  /// request the server can read then.
+  std::size_t bytes_read_after_the_window(std::size_t body) {
+    message->body.assign(body, 'x');
+    send(0, clock.fresh() + kWindow);
+    quiet(400);
+    return bytes_read_until_the_end();
+  }
+  std::size_t bytes_read_until_the_end() {
+    peer.non_blocking(true);
+    std::vector<char> chunk(64'000);
+    std::size_t total = 0;
+    EXPECT_TRUE(wait_for([&] {
+      net::error_code error;
+      total += peer.read_some(asio::buffer(chunk), error);
+      return error && error != asio::error::would_block;
+    }));
+    return total;
+  }
+};
+
+// Guards against a repeat that goes on being written when the server has forgotten the first attempt.
+TEST_F(PartiallyReadRepeat, WindowEndsBeforeTheLastByteIsWritten_RestIsNotSent) {
+  EXPECT_LT(bytes_read_after_the_window(kLongBody), kLongBody);
+  ASSERT_EQ(record.ended.size(), 1U);
+  EXPECT_EQ(record.ended[0].second, Outcome::connect_failed);
+}
+
+// Guards against the kernel delivering the rest of a repeat after its window.
+TEST_F(PartiallyReadRepeat, WindowEndsBeforeTheLastByteIsDelivered_RestIsNotDelivered) {
+  EXPECT_LT(bytes_read_after_the_window(kSmallBody), kSmallBody);
+  ASSERT_EQ(record.ended.size(), 1U);
+  EXPECT_EQ(record.ended[0].second, Outcome::reset);
+}
+
+// Guards against the kernel delivering the rest of a request that was given up.
+TEST_F(PartiallyReadRepeat, AttemptIsCancelledBeforeTheLastByteIsDelivered_RestIsNotDelivered) {
+  message->body.assign(kSmallBody, 'x');
+  send(0);
+  quiet(50);
+  upstream.cancel({1, 0}, engine::CancelReason::timed_out);
+  EXPECT_LT(bytes_read_until_the_end(), kSmallBody);
+}
+
 }  // namespace
 }  // namespace streampick::test
