--- a/src/resp/pipeline.cpp
+++ b/src/resp/pipeline.cpp
@@ -123,7 +123,8 @@
   append(use_resp3 ? Role::hello : Role::auth, words);
 }
 
-void Pipeline::send(engine::AttemptId attempt, const engine::Message& message, Time remaining) {
+void Pipeline::send(engine::AttemptId attempt, const engine::Message& message, Time remaining,
+                    Time begin_by) {
   std::vector<std::string_view> words;
   const std::string ms = std::to_string(std::max<Time>(remaining / 1000, 1));
   if (rules_->send_ids) {
@@ -138,6 +139,7 @@
     words.insert(words.end(), {"GET", message.key});
   }
   Entry& entry = append(Role::attempt, words);
+  entry.begin_by = begin_by;
   entry.attempt = attempt;
   entry.command = command_of(message);
   entry.write = engine::is_write(message.operation);
@@ -218,6 +220,12 @@
   return out;
 }
 
+Time Pipeline::begin_by(engine::AttemptId attempt) const {
+  for (const Entry& entry : entries_)
+    if (entry.role == Role::attempt && entry.attempt == attempt) return entry.begin_by;
+  return kNever;
+}
+
 std::optional<engine::AttemptId> Pipeline::partially_sent() const {
   for (const Entry& entry : entries_)
     if (entry.role == Role::attempt && !entry.cancelled && entry.begin < written_ && entry.end > written_)
--- a/src/resp/pipeline.h
+++ b/src/resp/pipeline.h
@@ -46,7 +46,9 @@
   Pipeline(const ServerRules& rules, bool null_is_miss);
 
   // Appends a command to output(). `remaining`: the time in microseconds that the router waits for the reply.
-  void send(engine::AttemptId attempt, const engine::Message& message, Time remaining);
+  // `begin_by`: see begin_by().
+  void send(engine::AttemptId attempt, const engine::Message& message, Time remaining,
+            Time begin_by = kNever);
   // Stores a value in the cache. No attempt waits for the reply.
   void store(const std::string& key, const std::string& value);
   // Removes a value from the cache. No attempt waits for the reply.
@@ -61,6 +63,8 @@
 
   /// Attempts of which no byte is written yet, in the order of sending.
   std::vector<engine::AttemptId> unsent() const;
+  /// When the last byte of the attempt's command must be written; kNever also for an unknown attempt.
+  Time begin_by(engine::AttemptId attempt) const;
   /// The attempt whose command is partly written, if any.
   std::optional<engine::AttemptId> partially_sent() const;
 
@@ -107,6 +111,7 @@
     const Command* command = nullptr;  // of an attempt; nullptr: a command that the router does not know
     bool write = false, options = false;
     std::uint64_t begin = 0, end = 0;  // byte offsets since the start of the connection
+    Time begin_by = kNever;            // the last byte must be written before
     bool cancelled = false;
   };
 
--- a/src/resp/transport.cpp
+++ b/src/resp/transport.cpp
@@ -142,13 +142,15 @@
   Time stalled_since = 0;  // since when only replies to cancelled attempts are expected; 0: not the case
 
  private:
-  /// Drops commands that the socket did not accept at once, if their request has ended or the deadline within
-  /// them is too late by now.
+  /// Drops commands that the socket did not accept at once, if their request has ended, the deadline within
+  /// them is too late by now, or their server may have forgotten the first attempt.
   void drop_expired_output() {
     const bool sends_deadlines = owner_->settings_.rules.send_ids;
-    const bool late = sends_deadlines && owner_->time_.fresh() - blocked_at_ > kMaxDeadlineAge;
+    const Time now = owner_->time_.fresh();
+    const bool late = sends_deadlines && now - blocked_at_ > kMaxDeadlineAge;
     const auto may_continue = [&](AttemptId attempt) {
-      return !late && owner_->outcomes_.may_write(attempt).has_value();
+      if (late || now >= pipeline.begin_by(attempt)) return false;
+      return owner_->outcomes_.may_write(attempt).has_value();
     };
     for (const AttemptId attempt : pipeline.unsent()) {
       if (may_continue(attempt) || !pipeline.cancel_unsent(attempt)) continue;
@@ -339,7 +341,8 @@
 void RespTransport::send_on(const ConnectionPtr& connection, const WaitingAttempt& waiting) {
   if (connection->pipeline.in_flight() > 0) ++counts_.shared;
   connection->last_used = time_.now();
-  connection->pipeline.send(waiting.attempt, *waiting.message, waiting.expires - time_.fresh());
+  connection->pipeline.send(waiting.attempt, *waiting.message, waiting.expires - time_.fresh(),
+                            waiting.begin_by);
   connection->write();
 }
 
--- a/tests/resp/held_up_test.cpp
+++ b/tests/resp/held_up_test.cpp
@@ -181,5 +181,19 @@
   }
 }
 
+// Guards against a repeat that goes on being written when its server has forgotten the first attempt.
+TEST_F(RespServerDeadline, PartlyWrittenRepeatWhoseWindowEnds_IsNotCompleted) {
+  servers.rules.send_ids = false;
+  message->operation = engine::Operation::write;
+  message->key = "k";
+  message->body = std::string(8'000'000, 'x');
+  transport.send({1, 0}, message, clock.now() + 8'000'000, clock.now() + 200'000);
+  greet();
+  quiet(300);
+  EXPECT_LT(read_remaining().size(), message->body.size());
+  ASSERT_TRUE(wait_for([&] { return ended.outcomes.size() == 1; }));
+  EXPECT_EQ(ended.outcomes.back(), Outcome::connect_failed);
+}
+
 }  // namespace
 }  // namespace streampick::test
