--- a/src/http1/upstream_connection.cpp
+++ b/src/http1/upstream_connection.cpp
@@ -106,8 +106,8 @@
   read();
 }
 
-// A server begins a request when its last byte has arrived. What has not arrived by `begin_by` must not arrive
-// any more.
+// A server begins a request when its last byte has arrived. What has not arrived by `begin_by` must not
+// arrive any more.
 void UpstreamConnection::watch_begin_deadline() {
   const Time wait = std::max<Time>(0, attempt_->begin_by - owner_->clock_.fresh());
   timer_.expires_after(std::chrono::microseconds(wait));
@@ -121,6 +121,7 @@
   if (state_ == State::sending) {
     finish(Outcome::connect_failed, {}, false);
   } else if (net::has_undelivered_bytes(socket_)) {
+    net::close_by_reset(socket_);
     finish(Outcome::reset, {}, false);
   }
 }
@@ -319,8 +320,6 @@
   const engine::AttemptId id = attempt_->id;
   const bool cancelled = state_ == State::draining;
   const Time now = owner.clock_.now();
-  const bool discards_request = !reusable && net::has_undelivered_bytes(socket_);
-  if (discards_request) net::close_by_reset(socket_);
   attempt_.reset();
   body_memory_ = {};
   writer_.clear();
--- a/src/http1/upstream_connection.h
+++ b/src/http1/upstream_connection.h
@@ -137,8 +137,8 @@
   State state_ = State::connecting;
   net::tcp::endpoint server_;
   net::tcp::socket socket_;
-  // For the connect timeout, `begin_by`, the buffering time, drain time or stall check, of which only one runs
-  // at a time.
+  // For the connect timeout, `begin_by`, the buffering time, drain time or stall check, of which only one
+  // runs at a time.
   boost::asio::steady_timer timer_;
   std::optional<UpstreamAttempt> attempt_;
   RequestWriter writer_;
--- a/src/net/tcp.h
+++ b/src/net/tcp.h
@@ -19,8 +19,8 @@
 /// Parses "host:port" with a numeric host; names are not resolved. None: the text is not such an address.
 std::optional<tcp::endpoint> parse_endpoint(const std::string& text);
 
-/// Whether bytes that were written to the socket have not been acknowledged by the peer's kernel. The peer may
-/// still receive them, even after an orderly close.
+/// Whether bytes that were written to the socket have not been acknowledged by the peer's kernel. The peer
+/// may still receive them, even after an orderly close.
 bool has_undelivered_bytes(tcp::socket& socket);
 
 /// Closes the socket by a reset: undelivered bytes are discarded.
