Uploads: the reservation of a buffered body moves into its stream

Cause: up to 1 MiB that had been buffered moved into the stream under a reservation of 64 KiB, and stood in two strings there.

Change: BodyStream holds one reservation for its buffer and the part its reader has, set to the bytes held after each step; the buffered body's reservation moves in with the bytes. The writer pauses at 16 KiB, so that all places of a stream fit into its 64 KiB. A rejected body is released at once.

--- a/src/engine/body_stream.h
+++ b/src/engine/body_stream.h
@@ -5,6 +5,10 @@
 /// Flow control: write() returns false when the buffer is full, and `on_writable` is called when there is
 /// space again. A reader that found nothing to read is notified by `on_readable`.
 ///
+/// Memory: the stream holds the reservation for all bytes of the body between the writer and the reader's
+/// socket, that is, for its buffer and for the part that the reader was given last. Both sides give up their
+/// other buffers when bytes pass.
+///
 /// `on_readable` is called from within the writer's calls, `on_writable` and `on_reader_closed` from within
 /// the reader's, which may be within a call of the engine: a writer must post its reaction to the event loop.
 #pragma once
@@ -18,6 +22,8 @@
 #include <string_view>
 #include <utility>
 
+#include "engine/memory_reservation.h"
+
 namespace streampick::engine {
 
 class BodyStream {
@@ -29,9 +35,11 @@
   };
 
   /// `length`: the announced length in bytes; absent if it is known only at the end. `capacity`: number of
-  /// buffered bytes at which the writer must pause.
-  BodyStream(std::optional<std::uint64_t> length, std::size_t capacity)
-      : length_(length), capacity_(capacity) {}
+  /// buffered bytes at which the writer must pause. `minimum`: the size in bytes that `reservation` keeps
+  /// while the body is open; `reservation` may be larger at first, if the first part is.
+  BodyStream(std::optional<std::uint64_t> length, std::size_t capacity, MemoryReservation reservation = {},
+             std::size_t minimum = 0)
+      : length_(length), capacity_(capacity), reservation_(std::move(reservation)), minimum_(minimum) {}
 
   // ---- The writer's side
 
@@ -41,6 +49,8 @@
   std::function<void()> on_reader_closed;
   /// Returns whether there is space for more; if not, the writer waits for `on_writable`.
   bool write(std::string_view bytes);
+  /// As above. Leaves `bytes` empty and without memory of its own.
+  bool write_moved(std::string&& bytes);
   /// Ends the body as complete or truncated. Nothing is written after it.
   void end(State state);
 
@@ -49,8 +59,8 @@
   /// Called when there are bytes to read or the body has ended.
   std::function<void()> on_readable;
   [[nodiscard]] const std::optional<std::uint64_t>& length() const { return length_; }
-  /// Moves all buffered bytes into `bytes` and reuses its memory as the buffer. Returns false if there were
-  /// none.
+  /// Moves all buffered bytes into `bytes`, whose former content, the part that was read before, is released.
+  /// Returns false if there were none.
   bool read(std::string& bytes);
   /// `complete` shows only once all bytes were read, `truncated` at once.
   [[nodiscard]] State state() const {
@@ -62,11 +72,18 @@
   [[nodiscard]] std::uint64_t bytes_read() const { return bytes_read_; }
 
  private:
+  bool accepts_bytes() const { return reader_open_ && state_ == State::open; }
+  bool on_written(std::size_t bytes);
+  void update_reservation();
+
   std::optional<std::uint64_t> length_;
   std::size_t capacity_;
+  MemoryReservation reservation_;  // of buffer_ and of the part that the reader holds
+  std::size_t minimum_;            // of the reservation, while the reader is open
   std::uint64_t bytes_written_ = 0;
   std::uint64_t bytes_read_ = 0;
   std::string buffer_;
+  std::size_t read_part_ = 0;  // size of the part that the reader holds
   State state_ = State::open;
   bool writer_paused_ = false;
   bool reader_open_ = true;
--- a/src/engine/message.h
+++ b/src/engine/message.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "engine/body_stream.h"
+#include "engine/memory_reservation.h"
 #include "streampick/router.h"
 
 namespace streampick::engine {
@@ -22,32 +23,6 @@
   return operation == Operation::write || operation == Operation::other_write;
 }
 
-/// A reservation in a memory budget; released on destruction.
-class MemoryReservation {
- public:
-  MemoryReservation() = default;
-  /// Adds `bytes` to `reserved`, the sum of all reservations.
-  MemoryReservation(std::shared_ptr<std::size_t> reserved, std::size_t bytes)
-      : reserved_(std::move(reserved)), bytes_(bytes) {
-    *reserved_ += bytes_;
-  }
-  MemoryReservation(MemoryReservation&& other) noexcept
-      : reserved_(std::move(other.reserved_)), bytes_(other.bytes_) {}
-  MemoryReservation& operator=(MemoryReservation&& other) noexcept {
-    std::swap(reserved_, other.reserved_);
-    std::swap(bytes_, other.bytes_);
-    return *this;
-  }
-  explicit operator bool() const { return reserved_ != nullptr; }
-  ~MemoryReservation() {
-    if (reserved_) *reserved_ -= bytes_;
-  }
-
- private:
-  std::shared_ptr<std::size_t> reserved_;
-  std::size_t bytes_ = 0;
-};
-
 /// The part of a request that is forwarded to a server unchanged.
 struct Message {
   Operation operation = Operation::read;
--- a/src/http1/client_session.h
+++ b/src/http1/client_session.h
@@ -100,6 +100,7 @@
   void fail_parsing(const net::error_code& error);
   void reject_without_memory();
   void send(OutgoingResponse response);
+  void release_body();
   void decide_persistence();
   void write_response();
   void wait_until_writable();
@@ -130,7 +131,7 @@
   RequestHead head_;
   std::string body_;
   std::optional<RequestReader> parser_;
-  engine::MemoryReservation body_reservation_;  // for a long body, or for the buffer of a streamed upload
+  engine::MemoryReservation body_reservation_;  // of body_, if it is long
   StreamedUpload upload_;
   std::size_t body_bytes_ = 0;  // received since the head was complete
   Time last_body_bytes_at_ = 0;
--- a/src/http1/client_session_requests.cpp
+++ b/src/http1/client_session_requests.cpp
@@ -129,6 +129,8 @@
     return false;
   }
   body_reservation_ = std::move(*reservation);
+  // Appending would double the allocation, beyond the reservation.
+  body_.reserve(body_reservation_.bytes());
   return true;
 }
 
@@ -189,8 +191,7 @@
     fail(RequestError::body_too_long);
     return;
   }
-  auto reservation = server_->body_memory.reserve(kStreamBufferSize);
-  if (!reservation) {
+  if (!server_->body_memory.grow(body_reservation_, kStreamBufferSize)) {
     reject_without_memory();
     return;
   }
@@ -200,7 +201,6 @@
     fail(*error);
     return;
   }
-  body_reservation_ = std::move(*reservation);
   auto& request = std::get<engine::IncomingRequest>(validated);
   request.message->upload = open_upload();
   closes_after_response_ = !parser_->keep_alive();
@@ -225,7 +225,7 @@
     length = *content_length;
   }
   // The reader calls this from within the engine: the session's work is posted to the event loop.
-  return upload_.start(length, [weak = weak_from_this()] {
+  return upload_.start(length, std::move(body_reservation_), [weak = weak_from_this()] {
     const auto self = weak.lock();
     if (!self) {
       return;
--- a/src/http1/client_session_responses.cpp
+++ b/src/http1/client_session_responses.cpp
@@ -40,7 +40,7 @@
     upload_.end(engine::BodyStream::State::truncated);
     body_abandoned_ = true;
   }
-  body_reservation_ = {};
+  release_body();
   enter(State::responding);
   request_ = 0;
   decide_persistence();
@@ -59,6 +59,12 @@
   write_response();
 }
 
+// The body of a request that was rejected: nothing of it is used any more.
+void ClientSession::release_body() {
+  std::string().swap(body_);
+  body_reservation_ = {};
+}
+
 // Decides whether the connection ends after this response. It stays open while a pipelined request, even an
 // unread one, is to be answered.
 void ClientSession::decide_persistence() {
--- a/src/http1/protocol.h
+++ b/src/http1/protocol.h
@@ -31,8 +31,11 @@
 /// Maximum size of a response body that is buffered. The protocol allows kMaxUnstreamedBody, but servers also
 /// send bodies of 350 kB.
 inline constexpr std::size_t kMaxBufferedResponse = kMebibyte;
-/// Buffer size of a streamed body: the bytes that were received and not yet sent on.
+/// Memory that a streamed body reserves for the bytes that were received and not yet sent on.
 inline constexpr std::size_t kStreamBufferSize = 64 * kKibibyte;
+/// Size at which the writer of a streamed body pauses. What is buffered then, the part before it that is
+/// being sent, and one read beyond the size of each fit into kStreamBufferSize.
+inline constexpr std::size_t kStreamPauseSize = 16 * kKibibyte;
 
 /// Appends a number in decimal digits.
 inline void append_number(std::string& text, std::size_t value) {
--- a/src/http1/response_writer.cpp
+++ b/src/http1/response_writer.cpp
@@ -123,6 +123,7 @@
 }
 
 void ResponseWriter::abandon() {
+  std::string().swap(body_);
   reservation_ = {};
   in_flight_ = {};
   stream_.reset();
--- a/src/http1/streamed_upload.h
+++ b/src/http1/streamed_upload.h
@@ -14,9 +14,11 @@
 
 class StreamedUpload {
  public:
-  /// Opens the stream. `length` is the body's size; nullopt if the body is chunked. `on_writable` is called
-  /// from within the engine when a paused upload may continue.
+  /// Opens the stream. `length` is the body's size; nullopt if the body is chunked. `reservation` is that of
+  /// the bytes that were buffered, kStreamBufferSize at least. `on_writable` is called from within the
+  /// engine when a paused upload may continue.
   std::shared_ptr<engine::BodyStream> start(std::optional<std::uint64_t> length,
+                                            engine::MemoryReservation reservation,
                                             std::function<void()> on_writable);
   /// Moves the bytes into the stream, and pauses the upload when the stream's buffer is full.
   void write(std::string& bytes);
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -11,13 +11,17 @@
 namespace streampick::net {
 
 /// Bounds the sum of all reservations. A body holds its reservation from its first byte read to its last byte
-/// written; reservations may outlive the budget. Single-threaded.
+/// written, wherever its bytes are; reservations may outlive the budget. Single-threaded.
 class MemoryBudget {
  public:
   /// Reserves `bytes` if they are available. They are not when many bodies arrive at once, or when clients
   /// read their responses slowly.
   [[nodiscard]] std::optional<engine::MemoryReservation> reserve(std::size_t bytes);
 
+  /// Enlarges a reservation of this budget, which may be empty, to at least `bytes`. Returns false, and
+  /// leaves it as it is, if the budget has no memory for that.
+  [[nodiscard]] bool grow(engine::MemoryReservation& reservation, std::size_t bytes);
+
   /// Reservations that exceed a lowered limit stay.
   void set_limit(std::size_t bytes) { limit_ = bytes; }
   [[nodiscard]] std::size_t limit() const { return limit_; }
--- a/tests/engine/body_stream_test.cpp
+++ b/tests/engine/body_stream_test.cpp
@@ -87,5 +87,30 @@
   }
 }
 
+/// Guards against bytes that leave the account when they move: buffered first part, stream, part that is
+/// being sent.
+TEST(BodyStream, BytesInAnyPlace_AreReservedUntilTheReaderIsDone) {
+  const auto reserved = std::make_shared<std::size_t>(0);
+  constexpr std::size_t kFirstPart = 1'000, kMinimum = 100;
+  auto stream = std::make_unique<engine::BodyStream>(
+      std::nullopt, 64, engine::MemoryReservation(reserved, kFirstPart), kMinimum);
+  std::string bytes(kFirstPart, 'x');
+  stream->write_moved(std::move(bytes));
+  EXPECT_EQ(*reserved, kFirstPart);
+  std::string part;
+  ASSERT_TRUE(stream->read(part));
+  EXPECT_EQ(*reserved, kFirstPart);  // the reader is sending it
+  stream->write(std::string(500, 'y'));
+  EXPECT_EQ(*reserved, kFirstPart + 500);
+  ASSERT_TRUE(stream->read(part));
+  EXPECT_EQ(*reserved, 500U);
+  stream->end(engine::BodyStream::State::complete);
+  EXPECT_EQ(*reserved, 500U);
+  EXPECT_FALSE(stream->read(part));
+  EXPECT_EQ(*reserved, kMinimum);
+  stream->close_reader();
+  EXPECT_EQ(*reserved, 0U);
+}
+
 }  // namespace
 }  // namespace streampick::node
--- /dev/null
+++ b/tests/http1/memory_test.cpp
@@ -0,0 +1,64 @@
+// What many slow peers make the router keep, measured by the heap of this process: it must not exceed the
+// limit of the memory budget by more than the connections themselves need.
+#include <netinet/tcp.h>
+
+#include "loopback.h"
+#include "support/heap_use.h"
+
+namespace streampick::test {
+namespace {
+
+constexpr std::size_t kLimit = 4'000'000;
+constexpr std::size_t kClients = 24;
+/// A client's connection, the one to a server, and the stand-ins' own buffers.
+constexpr std::size_t kPerClient = 100'000;
+
+class HeapUse : public Loopback {
+ protected:
+  void start_with_limit() {
+    start();
+    memory().set_limit(kLimit);
+    quiet(50);
+    heap_before_ = heap_use();
+  }
+  net::MemoryBudget& memory() { return host->upstream_resources().body_memory; }
+  /// What the router and the stand-ins have allocated since start_with_limit().
+  [[nodiscard]] std::size_t heap_growth() const {
+    const std::size_t now = heap_use();
+    return now > heap_before_ ? now - heap_before_ : 0;
+  }
+  /// Writes `text`, which must outlive the connection, while the event loop runs.
+  static void write_all(tcp::socket& socket, const std::string& text) {
+    asio::async_write(socket, asio::buffer(text), [](error_code, std::size_t) {});
+  }
+
+ private:
+  std::size_t heap_before_ = 0;
+};
+
+/// Guards against a chunked body of which only the stream's buffer counts once it is forwarded, while all
+/// that was buffered before waits for the server.
+TEST_F(HeapUse, ChunkedUploadsThatWaitForTheirServer_StayWithinTheLimit) {
+  tcp::acceptor unread_server(io, any_port());
+  Loopback::start(list_json(
+      1, true,
+      {{"s-cache", cache.address()}, {"s-origin", text_of(unread_server.local_endpoint()), "origin"}}));
+  memory().set_limit(kLimit);
+  std::string text = request_text("PUT", "/pay/1", "pay", "", "8.0", "Transfer-Encoding: chunked\r\n");
+  for (int chunk = 0; chunk < 24; ++chunk) text += "10000\r\n" + std::string(65'536, 'x') + "\r\n";
+  quiet(50);
+  const std::size_t before = heap_use();
+  std::vector<std::unique_ptr<tcp::socket>> clients;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    clients.push_back(std::make_unique<tcp::socket>(io));
+    clients.back()->connect(host->address());
+    write_all(*clients.back(), text);
+    quiet(20);
+  }
+  quiet(200);
+  EXPECT_LE(memory().reserved(), kLimit);
+  EXPECT_LE(heap_use() - before, kLimit + kClients * kPerClient);
+}
+
+}  // namespace
+}  // namespace streampick::test
