Responses: the reservation of a buffered body moves into its stream

Cause: start_streaming() gave back the reservation of the whole length while up to 1 MiB of it moved into the stream; a stream whose server had finished gave back its own, whatever its client still had to read.

Change: the reservation moves into the BodyStream, which keeps it until its reader is done. A cancelled response that is drained releases its memory. The body's string is allocated at the reserved size.

--- a/src/http1/response_stream.cpp
+++ b/src/http1/response_stream.cpp
@@ -4,11 +4,11 @@
 
 namespace streampick::http1 {
 
-void ResponseStream::start(std::optional<std::uint64_t> length, engine::MemoryReservation memory,
+void ResponseStream::start(std::optional<std::uint64_t> length, engine::MemoryReservation reservation,
                            std::function<void()> on_writable, std::function<void()> on_reader_closed,
                            Time now) {
-  memory_ = std::move(memory);
-  stream_ = std::make_shared<engine::BodyStream>(length, kStreamBufferSize);
+  stream_ = std::make_shared<engine::BodyStream>(length, kStreamPauseSize, std::move(reservation),
+                                                 kStreamBufferSize);
   stream_->on_writable = std::move(on_writable);
   stream_->on_reader_closed = std::move(on_reader_closed);
   last_progress_ = now;
@@ -18,13 +18,12 @@
   const auto stream = std::exchange(stream_, nullptr);
   stream->on_writable = nullptr;
   stream->on_reader_closed = nullptr;
-  memory_ = {};
   paused_ = false;
   stream->end(state);
 }
 
-void ResponseStream::write(const std::string& bytes, bool last, Time now) {
-  const bool has_space = stream_->write(bytes);
+void ResponseStream::write(std::string&& bytes, bool last, Time now) {
+  const bool has_space = stream_->write_moved(std::move(bytes));
   last_progress_ = now;
   if (!last) paused_ = !has_space;
 }
--- a/src/http1/response_stream.h
+++ b/src/http1/response_stream.h
@@ -23,10 +23,10 @@
   ResponseStream& operator=(const ResponseStream&) = delete;
 
   bool open() const { return stream_ != nullptr; }
-  /// Opens the stream of a body of `length` bytes; nullopt if the length is known only at the end. `memory`
-  /// is the reservation for the stream's buffer. The reader calls the callbacks, perhaps from within the
-  /// engine.
-  void start(std::optional<std::uint64_t> length, engine::MemoryReservation memory,
+  /// Opens the stream of a body of `length` bytes; nullopt if the length is known only at the end.
+  /// `reservation` is that of the bytes that were buffered, kStreamBufferSize at least. The reader calls the
+  /// callbacks, perhaps from within the engine.
+  void start(std::optional<std::uint64_t> length, engine::MemoryReservation reservation,
              std::function<void()> on_writable, std::function<void()> on_reader_closed, Time now);
   /// The reading end. Call only once for each stream.
   engine::BodyReader reader() const { return engine::BodyReader(stream_); }
@@ -34,8 +34,8 @@
   void end(engine::BodyStream::State state);
 
   std::uint64_t bytes_written() const { return stream_->bytes_written(); }
-  /// Appends bytes of the body. Unless it was the last part, a full buffer pauses the stream.
-  void write(const std::string& bytes, bool last, Time now);
+  /// Moves the bytes to the end of the stream. Unless it was the last part, a full buffer pauses the stream.
+  void write(std::string&& bytes, bool last, Time now);
   /// Whether the buffer is full: the server must not be read until resume().
   bool paused() const { return paused_; }
   void resume(Time now);
@@ -47,7 +47,6 @@
 
  private:
   std::shared_ptr<engine::BodyStream> stream_;
-  engine::MemoryReservation memory_;
   Time last_progress_ = 0;
   bool paused_ = false;
 };
--- a/src/http1/upstream_connection.cpp
+++ b/src/http1/upstream_connection.cpp
@@ -274,6 +274,8 @@
   auto memory = resources.body_memory.reserve(static_cast<std::size_t>(length));
   if (!memory) return start_streaming();
   body_memory_ = std::move(*memory);
+  // Appending would double the allocation, beyond the reservation.
+  decoder_.body().reserve(body_memory_.bytes());
   stream_after(resources.streaming.max_buffering_time);
   return true;
 }
@@ -347,7 +349,7 @@
 void UpstreamConnection::drain(Time max_wait) {
   state_ = State::draining;
   body_memory_ = {};
-  decoder_.discard_body();
+  decoder_.release_body();
   timer_.expires_after(std::chrono::microseconds(max_wait));
   timer_.async_wait([self = shared_from_this()](net::error_code cancelled) {
     if (!cancelled && self->state_ == State::draining) self->owner_->close_connection(self);
--- a/src/http1/upstream_streaming.cpp
+++ b/src/http1/upstream_streaming.cpp
@@ -28,12 +28,11 @@
   const std::optional<std::uint64_t> length = decoder_.content_length();
   if (!attempt_->message->accepts_streaming || decoder_.status() != 200) return false;
   if (length && *length > resources.streaming.max_body) return false;
-  auto memory = resources.body_memory.reserve(kStreamBufferSize);
-  if (!memory) return false;
+  if (!resources.body_memory.grow(body_memory_, kStreamBufferSize)) return false;
   const auto self = shared_from_this();
   Upstream& owner = *owner_;
   const Time now = owner.clock_.now();
-  stream_.start(length, std::move(*memory), make_posted_callback(&UpstreamConnection::resume_reading),
+  stream_.start(length, std::move(body_memory_), make_posted_callback(&UpstreamConnection::resume_reading),
                 make_posted_callback(&UpstreamConnection::on_reader_closed), now);
   state_ = State::streaming;
   owner.on_streaming_started(self);
@@ -46,7 +45,6 @@
   writer_.clear();
   watch_for_stall();
   owner.report(id, Outcome::served, std::move(answer));
-  body_memory_ = {};
   return true;
 }
 
@@ -68,8 +66,7 @@
     truncate_stream("body longer than the limit");
     return false;
   }
-  stream_.write(body, decoder_.complete(), owner_->clock_.now());
-  decoder_.discard_body();
+  stream_.write(std::move(body), decoder_.complete(), owner_->clock_.now());
   return true;
 }
 
--- a/tests/http1/memory_test.cpp
+++ b/tests/http1/memory_test.cpp
@@ -60,5 +60,38 @@
   EXPECT_LE(heap_use() - before, kLimit + kClients * kPerClient);
 }
 
+/// Guards against a response of which only the stream's buffer counts once it is forwarded, while all that
+/// was buffered before waits for its client.
+TEST_F(HeapUse, ResponsesInTwoPiecesToSlowClients_StayWithinTheLimit) {
+  constexpr std::size_t kBody = 1'000'000;
+  constexpr std::size_t kFirstPiece = 950'000;
+  constexpr int kSegment = 1'400;      // bytes, as on a network
+  constexpr int kSmallBuffer = 2'304;  // bytes
+  start_with_limit();
+  const std::string answer =
+      "HTTP/1.1 200 X\r\nContent-Type: image/x\r\nContent-Length: " + std::to_string(kBody) + "\r\n\r\n" +
+      std::string(kFirstPiece, 'x');
+  std::vector<std::unique_ptr<tcp::socket>> clients;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    const std::size_t asked = cache.requests.size() + origin.requests.size();
+    auto socket = std::make_unique<tcp::socket>(io);
+    socket->open(tcp::v4());
+    socket->set_option(asio::socket_base::receive_buffer_size(kSmallBuffer));
+    ASSERT_EQ(::setsockopt(socket->native_handle(), IPPROTO_TCP, TCP_MAXSEG, &kSegment, sizeof kSegment), 0);
+    socket->connect(host->address());
+    const std::string target = "/read/" + std::to_string(i);
+    asio::write(*socket, asio::buffer(request_text("GET", target, "read", "", "8.0")));
+    clients.push_back(std::move(socket));
+    ASSERT_TRUE(wait_for([&] { return cache.requests.size() + origin.requests.size() > asked; }));
+    // A hedge may have gone to the other server. An idle connection ignores the bytes of none.
+    for (FakeServer* server : {&cache, &origin})
+      if (!server->peers.empty()) write_all(server->peers.back()->socket, answer);
+    quiet(80);
+  }
+  EXPECT_GT(host->upstream_resources().streams.started, 4U);
+  EXPECT_LE(memory().reserved(), kLimit);
+  EXPECT_LE(heap_growth(), kLimit + kClients * kPerClient);
+}
+
 }  // namespace
 }  // namespace streampick::test
