Uploads: the backlog of a paused client does not extend its time

Cause: when a paused upload went on, bytes from the client's kernel were taken for a client that is still sending.

Change: ClientBacklog asks for empty time of the socket after a pause before arriving bytes count as sent then.

--- a/src/http1/client_session.cpp
+++ b/src/http1/client_session.cpp
@@ -204,8 +204,13 @@
     close();
     return;
   }
+  const Time now = server_->clock.now();
+  if (is_caught_up_) {
+    backlog_.on_empty_socket(now - caught_up_at_);
+  }
   sending_at_ = sending_at();
   is_caught_up_ = count < chunk_.size();
+  caught_up_at_ = now;
   is_prompt_read_ = true;
   on_bytes(count);
   is_prompt_read_ = false;
--- a/src/http1/client_session.h
+++ b/src/http1/client_session.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 
+#include "http1/client_backlog.h"
 #include "http1/client_limits.h"
 #include "http1/read_ahead_buffer.h"
 #include "http1/reader.h"
@@ -90,6 +91,7 @@
   void start_upload();
   std::shared_ptr<engine::BodyStream> open_upload();
   void continue_upload();
+  void write_upload();
   void on_upload_writable();
   [[nodiscard]] bool is_client_sending() const;
   [[nodiscard]] bool has_unsent_body() const;
@@ -124,6 +126,7 @@
   bool is_reading_ = false;      // a read is pending
   bool is_prompt_read_ = false;  // the bytes being handled were read as soon as the event loop reported them
   bool is_caught_up_ = false;    // all bytes that had arrived were read, and a read has been pending since
+  Time caught_up_at_ = 0;        // since when, if is_caught_up_
   bool has_pipelined_bytes_ = false;  // unparsed bytes follow the request in progress
   std::array<char, kClientReadChunk> chunk_;
 
@@ -133,6 +136,8 @@
   std::optional<RequestReader> parser_;
   engine::MemoryReservation body_reservation_;  // of body_, if it is long
   StreamedUpload upload_;
+  ClientBacklog backlog_;
+  Time upload_paused_at_ = 0;
   std::size_t body_bytes_ = 0;  // received since the head was complete
   Time last_body_bytes_at_ = 0;
   Time sending_at_ = 0;    // when the client was last known to be still sending the request
--- a/src/http1/client_session_requests.cpp
+++ b/src/http1/client_session_requests.cpp
@@ -206,7 +206,8 @@
   closes_after_response_ = !parser_->keep_alive();
   enter_within_message(State::uploading);
   sending_at_ = server_->clock.now();
-  upload_.write(body_);
+  backlog_ = {};
+  write_upload();
   const RequestId id = server_->request_handler.on_request(shared_from_this(), std::move(request));
   if (id == 0) {
     upload_.end(engine::BodyStream::State::truncated);
@@ -244,7 +245,7 @@
     fail_parsing(error);
     return;
   }
-  upload_.write(body_);
+  write_upload();
   if (!parser_->is_done()) {
     return;
   }
@@ -253,13 +254,20 @@
   server_->request_handler.on_body_complete(request_);
 }
 
+void ClientSession::write_upload() {
+  upload_.write(body_);
+  if (upload_.is_paused()) {
+    upload_paused_at_ = server_->clock.now();
+  }
+}
+
 // Whether the client of a streamed body can't have sent all of it yet. While the upload is paused, that is
 // not known to last: a server that takes nothing must not keep the request open.
 bool ClientSession::is_client_sending() const {
   if (state_ != State::uploading || upload_.is_paused()) {
     return false;
   }
-  return is_caught_up_ || has_unsent_body();
+  return (is_caught_up_ && backlog_.is_drained()) || has_unsent_body();
 }
 
 // Whether more of the body is missing than what has arrived and what the client's kernel may hold. Unknown
@@ -282,7 +290,9 @@
   // The client did not cause the pause, so its time limits start anew.
   since_ = server_->clock.now();
   last_body_bytes_at_ = since_;
+  backlog_.on_resumed(since_ - upload_paused_at_);
   is_caught_up_ = !has_unread_bytes();
+  caught_up_at_ = since_;
   sending_at_ = sending_at();
   wait_for_bytes();
 }
--- a/tests/http1/parts_test.cpp
+++ b/tests/http1/parts_test.cpp
@@ -1,4 +1,5 @@
 // Streamed responses, and the connections of cancelled attempts, over loopback sockets.
+#include "http1/client_backlog.h"
 #include "http1/read_ahead_buffer.h"
 #include "http1/reuse_rules.h"
 #include "loopback.h"
@@ -27,6 +28,22 @@
   EXPECT_EQ(buffer.arrived_at(1), kPieces + 1);
 }
 
+// Guards against late bytes of a paused upload that count as sent when they are read.
+TEST(ClientBacklog, AfterAPause_IsDrainedOnceTheSocketWasEmptyForAWhile) {
+  constexpr Time kMillisecond = 1'000;
+  http1::ClientBacklog backlog;
+  EXPECT_TRUE(backlog.is_drained());  // nothing was paused
+  backlog.on_resumed(5 * kMillisecond);
+  EXPECT_FALSE(backlog.is_drained());
+  backlog.on_empty_socket(5 * kMillisecond);
+  EXPECT_TRUE(backlog.is_drained());
+  backlog.on_resumed(3'000 * kMillisecond);
+  backlog.on_empty_socket(3'000 * kMillisecond);  // one event, perhaps of an event loop that was held up
+  EXPECT_FALSE(backlog.is_drained());
+  for (int piece = 0; piece < 20; ++piece) backlog.on_empty_socket(10 * kMillisecond);
+  EXPECT_TRUE(backlog.is_drained());
+}
+
 class ResponseStreaming : public Loopback {
  protected:
   void begin(std::size_t max_buffered = 64 * 1024, std::uint64_t max_response = 64 << 20) {
--- a/tests/http1/upload_test.cpp
+++ b/tests/http1/upload_test.cpp
@@ -1,5 +1,6 @@
 // Long request bodies over loopback sockets: they are buffered while there is memory, otherwise streamed.
 #include "http1/client_limits.h"
+#include "http1/one_server.h"
 #include "loopback.h"
 
 namespace streampick::test {
@@ -280,6 +281,27 @@
   EXPECT_LE(save.answered_at - stalled_since, kRemaining + kSlack);
 }
 
+// Guards against a save that is answered late because its rest, which waited in the client's kernel while the
+// server could not be reached, is taken for the bytes of a client that is still sending.
+TEST_F(UploadToSlowServer, BacklogThatIsReadLate_DoesNotExtendTheClientsTime) {
+  constexpr Time kRemaining = 1'500'000;
+  constexpr Time kSlack = 500'000;
+  FullListener unreachable(io);
+  quiet(20);
+  Loopback::start(
+      list_json(1, true, {{"s-cache", cache.address()}, {"s-origin", unreachable.address(), "origin"}}));
+  host->upstream_resources().connect_timeout = 0;  // the kernel's
+  LongSave save;
+  begin_save(save, 1'500'000, "1.5");
+  quiet(700);
+  ASSERT_NE(save.last_byte_at, 0);
+  EXPECT_TRUE(save.http_client->answers.empty());
+  unreachable.open();  // the kernel asks again one second after the first time
+  ASSERT_TRUE(wait_for([&] { return is_answered(save); }));
+  EXPECT_EQ(unreachable.requests(), 1U);
+  EXPECT_LE(save.answered_at - save.last_byte_at, kRemaining + kSlack);
+}
+
 // The bound on the time of a save must not end one whose client is still sending.
 TEST_F(UploadToSlowServer, ServerReadsSlowly_ClientThatIsStillSendingIsServed) {
   start_with_slow_server();
