Memory: short messages have a budget of their own, over all connections

Cause: what is shorter than 64 KiB was bounded for each connection, not in sum.

Change: a second budget, an eighth of the memory. A session counts all that it keeps of requests as one sum; a response counts from its head to its last byte written. 4 KiB a connection need no reservation. Over the limit requests get 503 before they are passed on, and responses are streamed.

ManyShortMessages.* pass.

--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -89,7 +89,7 @@
 void Host::start(const platform::NodeSettings& settings, [[maybe_unused]] bool has_second_source) {
   descriptors_ = overload::DescriptorBudget(platform::descriptor_limits(settings));
   resources_.connections.share_descriptors(descriptors_);
-  resources_.body_memory.set_limit(settings.memory_mb * (1024 * 1024 / 4));
+  set_memory_limits(settings.memory_mb);
   resources_.streaming.max_buffered_body = settings.overload.max_buffered_response;
   resources_.streaming.max_body = settings.overload.max_response;
   resources_.streaming.max_buffering_time = settings.overload.max_buffering_time;
@@ -190,11 +190,17 @@
   engine_->shut_down(std::move(done));
 }
 
+// The rest is for the program itself, its connections' fixed part and what the allocator can't return.
+void Host::set_memory_limits(std::size_t memory_mb) {
+  constexpr std::size_t kBytesPerMb = std::size_t{1024} * 1024;
+  resources_.body_memory.set_limit(memory_mb * kBytesPerMb / 4);
+  resources_.body_memory.short_messages.set_limit(memory_mb * kBytesPerMb / 8);
+}
+
 // During a takeover two processes of one router share its limits: each may use half, and closes idle
 // connections above that.
 void Host::set_resource_limits(bool is_only_process) {
-  const std::size_t whole = accepted_.memory_mb * (1024 * 1024 / 4);
-  resources_.body_memory.set_limit(is_only_process ? whole : whole / 2);
+  set_memory_limits(is_only_process ? accepted_.memory_mb : accepted_.memory_mb / 2);
   descriptors_.set_halved(!is_only_process);
   for (std::size_t over = descriptors_.excess(); over > 0; --over)
     if (!engine_->evict_idle_connection() && !http_->evict_connection()) return;
--- a/src/daemon/host.h
+++ b/src/daemon/host.h
@@ -77,6 +77,7 @@
   // Throws, without any change, when `next` is invalid.
   void apply_settings(const platform::NodeSettings& next);
   void set_resource_limits(bool is_only_process);
+  void set_memory_limits(std::size_t memory_mb);
   std::vector<bool> protected_classes() const;
   // `has_second_source`: endpoint lists come from etcd besides the platform.
   void start(const platform::NodeSettings& settings, bool has_second_source = false);
--- a/src/http1/client_session.cpp
+++ b/src/http1/client_session.cpp
@@ -251,6 +251,10 @@
   if (body_abandoned_) {
     return;
   }
+  if (!reserve_kept_bytes(bytes.size())) {
+    read_ahead_.discard(bytes);
+    return;
+  }
   if (read_ahead_.append_pipelined(bytes, server_->clock.now(), server_->body_memory)) {
     has_pipelined_bytes_ = true;
   }
@@ -268,6 +272,7 @@
   if (state_ == State::uploading) {
     continue_upload();
   }
+  reject_if_out_of_memory();
 }
 
 void ClientSession::parse_read_ahead() {
@@ -277,6 +282,7 @@
     continue_upload();
   }
   read_ahead_.release_unused();
+  reject_if_out_of_memory();
 }
 
 // ---- Closing
--- a/src/http1/client_session.h
+++ b/src/http1/client_session.h
@@ -85,6 +85,9 @@
   void on_message_complete();
   void on_message_incomplete();
   bool may_buffer_body();
+  [[nodiscard]] std::size_t kept_bytes() const;
+  [[nodiscard]] bool reserve_kept_bytes(std::size_t more = 0);
+  void reject_if_out_of_memory();
   void send_continue();
   void handle_request();
   void answer_health_check();
@@ -135,6 +138,8 @@
   std::string body_;
   std::optional<RequestReader> parser_;
   engine::MemoryReservation body_reservation_;  // of body_, if it is long
+  std::size_t message_bytes_ = 0;               // of the request that the engine has, if its body is short
+  engine::MemoryReservation kept_reservation_;  // of kept_bytes()
   StreamedUpload upload_;
   ClientBacklog backlog_;
   Time upload_paused_at_ = 0;
--- a/src/http1/client_session_requests.cpp
+++ b/src/http1/client_session_requests.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::string_view kHealthCheckPath = "/up";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+// A head is kept by the session, in the message for the engine, and by the connection to a server.
+constexpr std::size_t kHeadCopies = 3;
 
 }  // namespace
 
@@ -21,6 +23,7 @@
   continue_sent_ = false;
   body_bytes_ = 0;
   body_reservation_ = {};
+  message_bytes_ = 0;
 }
 
 // Returns the number of bytes that were consumed. Bytes after a complete message are not consumed.
@@ -95,7 +98,7 @@
 }
 
 void ClientSession::on_message_complete() {
-  if (may_buffer_body()) {
+  if (may_buffer_body() && reserve_kept_bytes()) {
     handle_request();
   } else {
     reject_without_memory();
@@ -134,6 +137,36 @@
   return true;
 }
 
+// What this session keeps of requests, but for long bodies, which have a reservation of their own.
+std::size_t ClientSession::kept_bytes() const {
+  const std::size_t short_body = body_reservation_ ? 0 : body_.size();
+  return message_bytes_ + short_body + read_ahead_.size() + kHeadCopies * head_.size();
+}
+
+// Sets the reservation to the bytes that are kept, and `more` that are about to be. Returns false if there is
+// no memory for them.
+bool ClientSession::reserve_kept_bytes(std::size_t more) {
+  const std::size_t bytes = kept_bytes() + more;
+  if (bytes <= net::MessageMemory::kUnreserved) {
+    kept_reservation_ = {};
+    return true;
+  }
+  if (!server_->body_memory.short_messages.grow(kept_reservation_, bytes)) {
+    return false;
+  }
+  kept_reservation_.resize(bytes);
+  return true;
+}
+
+// Called when a part of a request has been received.
+void ClientSession::reject_if_out_of_memory() {
+  const bool is_incomplete =
+      state_ == State::accepted || state_ == State::reading_head || state_ == State::reading_body;
+  if (is_incomplete && !reserve_kept_bytes()) {
+    reject_without_memory();
+  }
+}
+
 void ClientSession::send_continue() {
   if (continue_sent_ || !beast::iequals(head_.expect.value, "100-continue")) {
     return;
@@ -150,6 +183,7 @@
     return;
   }
   const bool is_large = body_.size() > kMaxUnstreamedBody;
+  message_bytes_ = is_large ? 0 : body_.size();
   auto validated = validate_request(head_, body_, server_->names, server_->messages);
   if (const RequestError* error = std::get_if<RequestError>(&validated)) {
     fail(*error);
--- a/src/http1/client_session_responses.cpp
+++ b/src/http1/client_session_responses.cpp
@@ -1,4 +1,5 @@
 // Sends the responses of a session, among them errors and rejections, and continues after each.
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 
@@ -41,6 +42,9 @@
     body_abandoned_ = true;
   }
   release_body();
+  if (!response.reservation && response.body.size() > net::MessageMemory::kUnreserved) {
+    response.reservation = server_->body_memory.short_messages.hold(response.body.size());
+  }
   enter(State::responding);
   request_ = 0;
   decide_persistence();
@@ -63,6 +67,8 @@
 void ClientSession::release_body() {
   std::string().swap(body_);
   body_reservation_ = {};
+  message_bytes_ = 0;
+  kept_reservation_.resize(std::min(kept_reservation_.bytes(), kept_bytes()));
 }
 
 // Decides whether the connection ends after this response. It stays open while a pipelined request, even an
--- a/src/http1/read_ahead_buffer.cpp
+++ b/src/http1/read_ahead_buffer.cpp
@@ -71,6 +71,11 @@
   return true;
 }
 
+void ReadAheadBuffer::discard(std::string_view bytes) {
+  has_overflowed_ = true;
+  discarded_ += bytes.size();
+}
+
 void ReadAheadBuffer::release_unused() {
   if (bytes_.size() <= kMaxReadAhead) {
     reservation_ = {};
--- a/src/http1/read_ahead_buffer.h
+++ b/src/http1/read_ahead_buffer.h
@@ -25,6 +25,8 @@
   /// kMaxReservedReadAhead if memory can be reserved. Beyond the limit it overflows permanently: these bytes
   /// and all later ones are discarded. Returns whether the bytes were kept.
   bool append_pipelined(std::string_view bytes, Time now, net::MemoryBudget& body_memory);
+  /// Overflows: these bytes and all later ones are discarded.
+  void discard(std::string_view bytes);
   /// When the last of the first `count` bytes arrived, or a little earlier: beyond a number of pieces, later
   /// ones count as arrived with the one before. Must not be called for an empty buffer.
   [[nodiscard]] Time arrived_at(std::size_t count) const;
--- a/src/http1/reader.cpp
+++ b/src/http1/reader.cpp
@@ -7,7 +7,7 @@
 
 // Maximum memory reserved for a body when its head is read, in bytes. A longer body allocates as it arrives:
 // its Content-Length alone must not cause a large allocation.
-constexpr std::size_t kMaxInitialReserve = 64 * kKibibyte;
+constexpr std::size_t kMaxInitialReserve = 16 * kKibibyte;
 
 bool equals(beast::string_view name, std::string_view wanted) {
   return name.size() == wanted.size() &&
@@ -78,6 +78,15 @@
   framing.clear();
 }
 
+std::size_t RequestHead::size() const {
+  std::size_t bytes = target.size();
+  for (const Field* field : {&host, &transaction_id, &lane, &remaining, &org, &estimate, &idempotency_key,
+                             &content_type, &expect}) {
+    bytes += field->value.size();
+  }
+  return bytes;
+}
+
 void ResponseHead::clear() {
   status = 0;
   version = 11;
--- a/src/http1/reader.h
+++ b/src/http1/reader.h
@@ -59,6 +59,8 @@
   Field host, transaction_id, lane, remaining, org, estimate, idempotency_key, content_type, expect;
   Framing framing;
   void clear();
+  /// Bytes of the texts.
+  [[nodiscard]] std::size_t size() const;
 };
 
 struct ResponseHead {
--- a/src/http1/request_writer.cpp
+++ b/src/http1/request_writer.cpp
@@ -14,6 +14,9 @@
 
 constexpr int kChunkSizeBase = 16;
 
+// A head with a larger capacity, in bytes, releases its memory between requests.
+constexpr std::size_t kMaxKeptHead = kKibibyte;
+
 }  // namespace
 
 void RequestWriter::start(const engine::Message& message, const std::string& server, Time expires, Time now) {
@@ -64,6 +67,7 @@
   message_ = nullptr;
   starved_ = false;
   std::string().swap(upload_part_);
+  if (head_.capacity() > kMaxKeptHead) std::string().swap(head_);
 }
 
 bool RequestWriter::complete() const { return part_written() && body_ != Body::upload; }
--- a/src/http1/server.cpp
+++ b/src/http1/server.cpp
@@ -29,7 +29,7 @@
 Server::Server(asio::io_context& io, net::Clock& clock, const Names& names,
                engine::RequestHandler& request_handler, const net::tcp::endpoint& address,
                overload::DescriptorBudget& descriptors, const overload::Settings& overload_settings,
-               net::LoadShedder& load_shedder, net::MemoryBudget& body_memory, int listening_descriptor)
+               net::LoadShedder& load_shedder, net::MessageMemory& body_memory, int listening_descriptor)
     : context_{.clock = clock,
                .names = names,
                .request_handler = request_handler,
--- a/src/http1/server.h
+++ b/src/http1/server.h
@@ -26,7 +26,7 @@
   Server(boost::asio::io_context& io, net::Clock& clock, const Names& names,
          engine::RequestHandler& request_handler, const boost::asio::ip::tcp::endpoint& address,
          overload::DescriptorBudget& descriptors, const overload::Settings& overload_settings,
-         net::LoadShedder& load_shedder, net::MemoryBudget& body_memory, int listening_descriptor = -1);
+         net::LoadShedder& load_shedder, net::MessageMemory& body_memory, int listening_descriptor = -1);
   ~Server() override;
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/src/http1/server_context.h
+++ b/src/http1/server_context.h
@@ -34,7 +34,7 @@
   const Names& names;
   engine::RequestHandler& request_handler;
   net::LoadShedder& load_shedder;
-  net::MemoryBudget& body_memory;  ///< the memory budget of long bodies
+  net::MessageMemory& body_memory;
   overload::KeepAlivePolicy keep_alive;
   net::LoopStallDetector stall_detector = {};
   engine::MessagePool messages = {};
--- a/src/http1/upstream_connection.cpp
+++ b/src/http1/upstream_connection.cpp
@@ -97,6 +97,7 @@
   received_early_ = false;
   has_received_ = false;
   body_memory_ = {};
+  short_memory_ = {};
   net::UpstreamResources& resources = owner_->resources_;
   decoder_.start(std::max<std::uint64_t>(kMaxBufferedResponse, resources.streaming.max_body));
   writer_.start(*attempt_->message, owner_->name_, attempt_->expires, owner_->clock_.fresh());
@@ -255,7 +256,11 @@
   // A body of unknown length may be long: it is buffered for no more time than a body that is known to be
   // long.
   if (!length && decoder_.status() == 200) stream_after(owner_->resources_.streaming.max_buffering_time);
-  if (length.value_or(0) <= kMaxUnstreamedBody || buffer_long_body(*length)) return true;
+  const std::uint64_t known_length = length.value_or(0);
+  const bool is_kept = known_length <= kMaxUnstreamedBody
+                           ? buffer_short_body(static_cast<std::size_t>(known_length))
+                           : buffer_long_body(known_length);
+  if (is_kept) return true;
   on_malformed("body too long, or no memory for it");
   return false;
 }
@@ -280,11 +285,25 @@
   return true;
 }
 
+// As above, for a body that need not be streamed otherwise.
+bool UpstreamConnection::buffer_short_body(std::size_t length) {
+  if (length <= net::MessageMemory::kUnreserved) return true;
+  net::MemoryBudget& budget = owner_->resources_.body_memory.short_messages;
+  if (budget.grow(short_memory_, length)) return true;
+  if (attempt_->message->accepts_streaming) return start_streaming();
+  short_memory_ = budget.hold(length);
+  return true;
+}
+
+bool UpstreamConnection::buffer_body_of_unknown_length() {
+  const std::size_t size = decoder_.body().size();
+  return size > kMaxUnstreamedBody ? start_streaming() : buffer_short_body(size);
+}
+
 // Returns false if the connection must not be read any further, temporarily or permanently.
 bool UpstreamConnection::on_body() {
   const bool buffers = state_ == State::receiving && decoder_.head_received();
-  if (buffers && !decoder_.content_length() && decoder_.body().size() > kMaxUnstreamedBody &&
-      !start_streaming()) {
+  if (buffers && !decoder_.content_length() && !buffer_body_of_unknown_length()) {
     on_malformed("long body without a length that can't be streamed");
     return false;
   }
@@ -324,6 +343,7 @@
   const Time now = owner.clock_.now();
   attempt_.reset();
   body_memory_ = {};
+  short_memory_ = {};  // of an answer: the downstream, which has it next, counts it
   writer_.clear();
   decoder_.release_body();
   if (outcome == Outcome::served || outcome == Outcome::miss)
@@ -349,6 +369,7 @@
 void UpstreamConnection::drain(Time max_wait) {
   state_ = State::draining;
   body_memory_ = {};
+  short_memory_ = {};
   decoder_.release_body();
   timer_.expires_after(std::chrono::microseconds(max_wait));
   timer_.async_wait([self = shared_from_this()](net::error_code cancelled) {
--- a/src/http1/upstream_connection.h
+++ b/src/http1/upstream_connection.h
@@ -116,6 +116,8 @@
   void decode(std::string_view bytes);
   bool on_head();
   bool buffer_long_body(std::uint64_t length);
+  bool buffer_short_body(std::size_t length);
+  bool buffer_body_of_unknown_length();
   bool on_body();
   bool is_too_soon_after_another() const;
   void on_malformed(const std::string& reason);
@@ -143,7 +145,8 @@
   std::optional<UpstreamAttempt> attempt_;
   RequestWriter writer_;
   ResponseDecoder decoder_;
-  engine::MemoryReservation body_memory_;  // for a long body that is buffered
+  engine::MemoryReservation body_memory_;   // for a long body that is buffered
+  engine::MemoryReservation short_memory_;  // for a short one
   ResponseStream stream_;
   Time last_used_ = 0;
   Time last_response_at_ = 0;
--- a/src/http1/upstream_streaming.cpp
+++ b/src/http1/upstream_streaming.cpp
@@ -42,6 +42,7 @@
   answer.stream = stream_.reader();
   const engine::AttemptId id = attempt_->id;
   attempt_.reset();
+  short_memory_ = {};
   writer_.clear();
   watch_for_stall();
   owner.report(id, Outcome::served, std::move(answer));
--- a/src/net/memory_budget.h
+++ b/src/net/memory_budget.h
@@ -22,6 +22,9 @@
   /// leaves it as it is, if the budget has no memory for that.
   [[nodiscard]] bool grow(engine::MemoryReservation& reservation, std::size_t bytes);
 
+  /// Reserves `bytes` that are in use already, also beyond the limit.
+  [[nodiscard]] engine::MemoryReservation hold(std::size_t bytes) { return {reserved_, bytes}; }
+
   /// Reservations that exceed a lowered limit stay.
   void set_limit(std::size_t bytes) { limit_ = bytes; }
   [[nodiscard]] std::size_t limit() const { return limit_; }
@@ -35,4 +38,14 @@
   std::shared_ptr<std::size_t> reserved_ = std::make_shared<std::size_t>(0);
 };
 
+/// The budget of long bodies, and beside it that of everything else that the router keeps of requests and
+/// responses. Two budgets, so that long bodies leave memory for short messages.
+struct MessageMemory : MemoryBudget {
+  /// What one message may need without a reservation, in bytes, so that small ones are served in any case.
+  static constexpr std::size_t kUnreserved = std::size_t{4} * 1024;
+
+  /// Heads, bodies up to the protocol's maximum, and bytes that can't be parsed yet.
+  MemoryBudget short_messages;
+};
+
 }  // namespace streampick::net
--- a/src/net/upstream_resources.h
+++ b/src/net/upstream_resources.h
@@ -50,7 +50,7 @@
   /// Called when `connections` has no capacity: closes an idle connection, to a server or of a client.
   std::function<void()> evict_idle_connection = [] {};
 
-  MemoryBudget body_memory;
+  MessageMemory body_memory;
   StreamingLimits streaming;
   StreamCounts streams;
 
--- a/src/plugin/client.cpp
+++ b/src/plugin/client.cpp
@@ -106,6 +106,7 @@
         platform::descriptor_limits(node).total, 0, platform::descriptor_limits(node).total});
     resources.connections.share_descriptors(descriptors);
     resources.body_memory.set_limit(node.memory_mb * (1024 * 1024 / 4));
+    resources.body_memory.short_messages.set_limit(node.memory_mb * (1024 * 1024 / 8));
     resources.connect_timeout = node.settings.config.connect_timeout;
     resources.cancellation = overload::CancellationPolicy(node.overload);
     resources.evict_idle_connection = [this] { engine->evict_idle_connection(); };
--- a/tests/http1/scripted_downstream.h
+++ b/tests/http1/scripted_downstream.h
@@ -324,7 +324,7 @@
   ScriptedEngine engine{transcript};
   asio::io_context io{1};
   net::Clock clock{io};
-  net::MemoryBudget body_memory;
+  net::MessageMemory body_memory;
   overload::DescriptorBudget descriptors{{200, 60, 60}};
   std::unique_ptr<net::LoadShedder> load_shedder_;
   std::unique_ptr<http1::Server> server;
