Uploads: the last byte of a client that has left is not forwarded

Cause: while an upload is paused, the client's FIN stands behind bytes that nobody reads; the rest was forwarded before the FIN was read.

Change: at the last byte of a body that was paused the socket is asked for a FIN or RST before that byte is forwarded.

--- a/src/http1/client_session.h
+++ b/src/http1/client_session.h
@@ -94,6 +94,7 @@
   void start_upload();
   std::shared_ptr<engine::BodyStream> open_upload();
   void continue_upload();
+  [[nodiscard]] bool has_left_during_upload();
   void write_upload();
   void on_upload_writable();
   [[nodiscard]] bool is_client_sending() const;
--- a/src/http1/client_session_requests.cpp
+++ b/src/http1/client_session_requests.cpp
@@ -279,6 +279,10 @@
     fail_parsing(error);
     return;
   }
+  if (parser_->is_done() && has_left_during_upload()) {
+    close();
+    return;
+  }
   write_upload();
   if (!parser_->is_done()) {
     return;
@@ -288,6 +292,10 @@
   server_->request_handler.on_body_complete(request_);
 }
 
+// Whether the client has disconnected while its upload was paused: its FIN or RST stood behind bytes that
+// were not read, and arrives with the last of them. Without those the server does not begin the request.
+bool ClientSession::has_left_during_upload() { return !backlog_.is_drained() && has_disconnected(); }
+
 void ClientSession::write_upload() {
   upload_.write(body_);
   if (upload_.is_paused()) {
--- a/tests/http1/disconnect_test.cpp
+++ b/tests/http1/disconnect_test.cpp
@@ -260,6 +260,33 @@
   expect_no_further_requests(1);
 }
 
+// Guards against pipelined requests that are sent on although their client has gone, where its FIN stands
+// behind more bytes than the router reads.
+TEST_F(ClientDisconnect, FinBehindUnreadBytes_PipelinedRequestsAreNotForwarded) {
+  start();
+  std::size_t forwarded = 1;
+  Raw http_client(io, host->address());
+  http_client.write(a_read());
+  ASSERT_TRUE(wait_for([&] { return cache.requests.size() == forwarded; }));
+  std::string pipelined;
+  for (int i = 0; i < 20; ++i) pipelined += request_text("GET", "/read/" + std::to_string(i + 100), "read");
+  http_client.write(pipelined);
+  http_client.socket.non_blocking(true);
+  const std::string much(64 * 1024, 'x');
+  net::error_code error;
+  for (int full = 0; full < 20; error ? ++full : 0) {  // until the buffers on both sides are full
+    http_client.socket.write_some(asio::buffer(much), error);
+    quiet(1);
+  }
+  http_client.socket.close();
+  quiet(200);
+  forwarded = cache.requests.size() + origin.requests.size();  // the first one's hedges
+  cache.answer = [](const std::string&) { return response(200, "value"); };
+  for (FakeServer* server : {&cache, &origin})
+    for (const auto& peer : server->peers) peer->write(response(200, "value"));
+  expect_no_further_requests(forwarded);
+}
+
 // Bytes are discarded while the response is written. Bytes after the gap must not be parsed as the rest of
 // the request before the gap.
 TEST_F(ClientDisconnect, DiscardedBytes_NoRequestAfterThemIsRead) {
--- a/tests/http1/upload_test.cpp
+++ b/tests/http1/upload_test.cpp
@@ -302,6 +302,31 @@
   EXPECT_LE(save.answered_at - save.last_byte_at, kRemaining + kSlack);
 }
 
+// Guards against a save that is carried out although its client has gone, where its FIN stands behind the
+// bytes that are not read while the save waits for the server.
+TEST_F(UploadToSlowServer, ClientLeavesWhileItsSaveWaits_ServerNeverGetsTheWholeSave) {
+  FullListener unreachable(io);
+  quiet(20);
+  Loopback::start(
+      list_json(1, true, {{"s-cache", cache.address()}, {"s-origin", unreachable.address(), "origin"}}));
+  host->upstream_resources().connect_timeout = 0;  // the kernel's
+  constexpr std::size_t kBody = 1'500'000;
+  LongSave save;
+  begin_save(save, kBody, "8.0");
+  quiet(300);
+  ASSERT_NE(save.last_byte_at, 0);
+  save.http_client->peer->close();
+  quiet(300);
+  unreachable.open();  // the kernel asks again one second after the first time
+  EXPECT_TRUE(wait_for([&] { return host->counts().cancelled_by_client == 1; }));
+  quiet(300);
+  for (const auto& peer : unreachable.peers) {
+    const std::size_t head = peer->got.find("\r\n\r\n");
+    const std::size_t body = head == std::string::npos ? 0 : peer->got.size() - head - 4;
+    EXPECT_LT(body, kBody);
+  }
+}
+
 // The bound on the time of a save must not end one whose client is still sending.
 TEST_F(UploadToSlowServer, ServerReadsSlowly_ClientThatIsStillSendingIsServed) {
   start_with_slow_server();
