Client session: an upload gives back the reservation of what it was read into

The reservation of a session's kept bytes was set anew only while a request was incomplete, so an upload held that of the bytes before it until the next request: too much, never too little. It is set after each parse now.

--- a/src/http1/client_session.cpp
+++ b/src/http1/client_session.cpp
@@ -272,7 +272,7 @@
   if (state_ == State::uploading) {
     continue_upload();
   }
-  reject_if_out_of_memory();
+  update_kept_reservation();
 }
 
 void ClientSession::parse_read_ahead() {
@@ -282,7 +282,7 @@
     continue_upload();
   }
   read_ahead_.release_unused();
-  reject_if_out_of_memory();
+  update_kept_reservation();
 }
 
 // ---- Closing
--- a/src/http1/client_session.h
+++ b/src/http1/client_session.h
@@ -87,7 +87,7 @@
   bool may_buffer_body();
   [[nodiscard]] std::size_t kept_bytes() const;
   [[nodiscard]] bool reserve_kept_bytes(std::size_t more = 0);
-  void reject_if_out_of_memory();
+  void update_kept_reservation();
   void send_continue();
   void handle_request();
   void answer_health_check();
--- a/src/http1/client_session_requests.cpp
+++ b/src/http1/client_session_requests.cpp
@@ -158,11 +158,16 @@
   return true;
 }
 
-// Called when a part of a request has been received.
-void ClientSession::reject_if_out_of_memory() {
+// Called when received bytes have been parsed, passed on or kept.
+void ClientSession::update_kept_reservation() {
+  if (is_closed()) {
+    return;
+  }
   const bool is_incomplete =
       state_ == State::accepted || state_ == State::reading_head || state_ == State::reading_body;
-  if (is_incomplete && !reserve_kept_bytes()) {
+  if (!is_incomplete) {
+    kept_reservation_.resize(std::min(kept_reservation_.bytes(), kept_bytes()));
+  } else if (!reserve_kept_bytes()) {
     reject_without_memory();
   }
 }
