Router: an override is no answer of discovery; three entries for three statements

Cause: Router::on_members() took both what is listed and that discovery has answered; the engine passed an override by it as Update::changes, and DiscoveryPolling dropped the poll that was due. The engine's flag discovery_lost_ covered only the time after a failure, and postponed the next poll with each override.

Change: on_discovery(DiscoveryStatus), on_members(Update, Member) and on_override(ServerId, EndpointOverride). Only the first reaches DiscoveryPolling. The module keeps overrides as a layer over the listed entries; an override is no Member any more and can't be passed as one. Update::stale and failed are gone; the adapter maps the wire's C and X to on_discovery(). Tests of router_test.cpp that polled by Update::stale and failed poll by on_discovery() now, with the same bounds.

--- a/include/streampick/router.h
+++ b/include/streampick/router.h
@@ -38,8 +38,12 @@
 enum class Update : std::uint8_t {
   changes,  ///< the members that changed
   full,     ///< the whole list
-  stale,    ///< the whole list, out of date
-  failed,   ///< none: discovery could not be reached
+};
+/// What is known of discovery, where it has to be polled.
+enum class DiscoveryStatus : std::uint8_t {
+  not_polled,  ///< it has not been polled yet: any list known is from an earlier time
+  answered,    ///< it has answered a poll, and reports further changes by itself
+  failed,      ///< a poll has failed, or the reports have ended
 };
 /// How an attempt ended.
 enum class Outcome : std::uint8_t {
@@ -116,6 +120,13 @@
   Time started = 0;  ///< 0: long ago
 };
 
+/// What an operator has decided about one server. It takes precedence over the endpoint list.
+struct EndpointOverride {
+  bool disabled = false;  ///< treated as draining where the list says ready
+  Time started = 0;       ///< the server's start, unless the list has a later one; 0: as listed
+  friend bool operator==(const EndpointOverride&, const EndpointOverride&) = default;
+};
+
 /// A request as it arrives.
 struct Request {
   RequestId id = 0;
@@ -170,7 +181,7 @@
   virtual void fail(RequestId request) = 0;
   /// Closes the idle connections to this server. Optional.
   virtual void close_idle(ServerId) {}
-  /// Polls discovery for the endpoint list; the answer is reported by Router::on_members().
+  /// Polls discovery for the endpoint list; how that ends is reported by Router::on_discovery().
   virtual void poll_discovery() = 0;
 };
 
@@ -189,8 +200,15 @@
   /// family, the origin's kind, how lists come and the own zone must be as they were at the start. Throws as
   /// the constructor does, and then nothing has changed.
   void on_config(Time now, Config config);
-  /// The endpoint list has come, or discovery has failed.
+  /// What discovery has done, whatever the endpoint list contains. The host calls it once at the start and
+  /// each time a poll succeeds or fails. Without Config::polls_discovery it has no effect.
+  void on_discovery(Time now, DiscoveryStatus status);
+  /// The endpoint list, as it was listed: without operators' overrides, and from whatever source.
   void on_members(Time now, Update update, std::span<const Member> members);
+  /// An operator's override of a server. It stays in force, whether the server is listed or not, until the
+  /// next override of this id; a default value removes it. An id that is to name another server keeps its
+  /// override until the host replaces it.
+  void on_override(Time now, ServerId server, const EndpointOverride& value);
   /// A request has arrived. It ends with a result that says request_over, with ActionSink::reject(), with
   /// ActionSink::fail() or with on_cancelled().
   void on_request(Time now, const Request& request);
--- a/src/adapter/main.cpp
+++ b/src/adapter/main.cpp
@@ -219,7 +219,9 @@
       parsed.member.id = self.intern(parsed.server);
       members_.push_back(parsed.member);
     }
-    self.router(fields).on_members(now_, head.update, members_);
+    Router& router = self.router(fields);
+    router.on_discovery(now_, head.discovery);
+    if (head.update) router.on_members(now_, *head.update, members_);
   }
 
   // Ends the batch: writes the timers, the actions and the acknowledgement to standard output.
--- a/src/adapter/wire.cpp
+++ b/src/adapter/wire.cpp
@@ -142,9 +142,10 @@
   } else if (scope == "F") {
     out.update = Update::full;
   } else if (scope == "C") {
-    out.update = Update::stale;
+    out.update = Update::full;
+    out.discovery = DiscoveryStatus::not_polled;
   } else if (scope == "X") {
-    out.update = Update::failed;
+    out.discovery = DiscoveryStatus::failed;
   } else {
     fields.reject("Scope", scope);
   }
--- a/src/adapter/wire.h
+++ b/src/adapter/wire.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -67,7 +68,8 @@
 
 // The first line of a member list; `entries` further lines follow.
 struct MembersHead {
-  Update update = Update::full;
+  DiscoveryStatus discovery = DiscoveryStatus::answered;
+  std::optional<Update> update;  // empty: the list stays as it was
   std::int64_t entries = 0;
 };
 MembersHead parse_members(Fields& fields);
--- a/src/engine/endpoint_overrides.cpp
+++ b/src/engine/endpoint_overrides.cpp
@@ -1,14 +1,12 @@
 #include "engine/endpoint_overrides.h"
 
-#include <algorithm>
-
 namespace streampick::engine {
 
 void EndpointOverrides::set(const std::string& name, EndpointOverride value) {
-  if (value.disabled || value.started > 0) {
-    overrides_[name] = value;
-  } else {
+  if (value == EndpointOverride{}) {
     overrides_.erase(name);
+  } else {
+    overrides_[name] = value;
   }
 }
 
@@ -17,12 +15,9 @@
   return found != overrides_.end() && found->second.disabled;
 }
 
-Member EndpointOverrides::apply(const std::string& name, Member listed) const {
+EndpointOverride EndpointOverrides::of(const std::string& name) const {
   const auto found = overrides_.find(name);
-  if (found == overrides_.end()) return listed;
-  if (found->second.disabled && listed.phase == Phase::ready) listed.phase = Phase::draining;
-  listed.started = std::max(listed.started, found->second.started);
-  return listed;
+  return found == overrides_.end() ? EndpointOverride{} : found->second;
 }
 
 }  // namespace streampick::engine
--- a/src/engine/endpoint_overrides.h
+++ b/src/engine/endpoint_overrides.h
@@ -9,13 +9,8 @@
 
 namespace streampick::engine {
 
-/// An operator's override of one server.
-struct EndpointOverride {
-  bool disabled = false;
-  Time started = 0;  ///< start time, unless the list has a later one; 0: as listed
-};
-
 /// The overrides by server name. They stay in force until they are reset, whatever endpoint lists contain.
+/// The decision module applies them; it knows servers by number only.
 class EndpointOverrides {
  public:
   /// Replaces the override of `name`; a default value removes it.
@@ -23,8 +18,8 @@
 
   [[nodiscard]] bool is_disabled(const std::string& name) const;
 
-  /// The listed endpoint with its override applied.
-  [[nodiscard]] Member apply(const std::string& name, Member listed) const;
+  /// A default value: there is none.
+  [[nodiscard]] EndpointOverride of(const std::string& name) const;
 
  private:
   std::unordered_map<std::string, EndpointOverride> overrides_;
--- a/src/engine/endpoint_registry.cpp
+++ b/src/engine/endpoint_registry.cpp
@@ -4,18 +4,25 @@
 
 namespace streampick::engine {
 
-EndpointRegistry::ListChange EndpointRegistry::apply(Update update, const EndpointList& list, Time now) {
-  if (update == Update::stale) {
-    starts_.known_at_start(list);
-  } else {
-    starts_.on_endpoint_list(list);
-  }
+EndpointRegistry::ListChange EndpointRegistry::apply(const EndpointList& list, Time now) {
+  starts_.on_endpoint_list(list);
+  return apply_members(list.complete ? Update::full : Update::changes, list, now);
+}
+
+EndpointRegistry::ListChange EndpointRegistry::apply_stored(const EndpointList& list, Time now) {
+  starts_.known_at_start(list);
+  return apply_members(Update::full, list, now);
+}
+
+EndpointRegistry::ListChange EndpointRegistry::apply_members(Update update, const EndpointList& list,
+                                                             Time now) {
   ListChange change;
+  change.update = update;
   std::vector<bool> named(endpoints_.size(), false);
   for (const ListedEndpoint& listed : list.members) {
     // The departure of an unknown server has no effect.
     if (listed.member.phase == Phase::gone && !ids_.contains(listed.id)) continue;
-    const ServerId id = intern(listed);
+    const ServerId id = intern(listed, change);
     if (id < named.size()) named[id] = true;
     const Member member = update_endpoint(id, listed, now);
     if (member.phase == Phase::gone) change.departed.push_back(id);
@@ -34,29 +41,41 @@
 
 Member EndpointRegistry::update_endpoint(ServerId id, const ListedEndpoint& listed, Time now) {
   Endpoint& endpoint = endpoints_[id];
-  endpoint.listed_as = listed.member;
-  endpoint.listed_as.id = id;
-  endpoint.listed_as.started = starts_.start_of(listed.id);
+  endpoint.listed_phase = listed.member.phase;
+  endpoint.listed = listed.member.phase != Phase::gone;
   endpoint.upstream->set_address(listed.address);
-  const Member member = overrides_.apply(endpoint.name, endpoint.listed_as);
-  endpoint.listed = member.phase != Phase::gone;
-  if (member.phase == Phase::ready) {
+  update_sending(endpoint, now);
+  Member member = listed.member;
+  member.id = id;
+  member.started = starts_.start_of(listed.id);
+  return member;
+}
+
+bool EndpointRegistry::is_enabled(const Endpoint& endpoint) const {
+  return endpoint.listed_phase == Phase::ready && !overrides_.is_disabled(endpoint.name);
+}
+
+void EndpointRegistry::update_sending(Endpoint& endpoint, Time now) {
+  if (is_enabled(endpoint)) {
     endpoint.upstream->stop_sending_at(kNever);
   } else {
     stop_sending(endpoint, now);
   }
-  return member;
 }
 
-ServerId EndpointRegistry::intern(const ListedEndpoint& listed) {
+ServerId EndpointRegistry::intern(const ListedEndpoint& listed, ListChange& change) {
   const auto [entry, fresh] = ids_.try_emplace(listed.id, static_cast<ServerId>(endpoints_.size()));
   if (!fresh) return entry->second;
-  if (free_ids_.empty()) {
-    endpoints_.emplace_back();
-  } else {
+  const bool is_reused = !free_ids_.empty();
+  if (is_reused) {
     entry->second = free_ids_.back();
     free_ids_.pop_back();
+  } else {
+    endpoints_.emplace_back();
   }
+  // A reused number may still have the override of the server that had it before.
+  const EndpointOverride value = overrides_.of(listed.id);
+  if (is_reused || value != EndpointOverride{}) change.overrides.push_back({entry->second, value});
   Endpoint& endpoint = endpoints_[entry->second];
   endpoint.name = listed.id;
   endpoint.is_origin = origin_kind_ != kNone && listed.member.kind == origin_kind_;
@@ -71,20 +90,15 @@
   endpoint.upstream->close_idle(kNever);
 }
 
-std::optional<Member> EndpointRegistry::set_override(const std::string& name, EndpointOverride value,
-                                                     Time now) {
+std::optional<NumberedOverride> EndpointRegistry::set_override(const std::string& name,
+                                                               EndpointOverride value, Time now) {
   value.started = starts_.start_at(value.started);
   overrides_.set(name, value);
   const auto found = ids_.find(name);
-  if (found == ids_.end() || !endpoints_[found->second].listed) return std::nullopt;
+  if (found == ids_.end()) return std::nullopt;
   Endpoint& endpoint = endpoints_[found->second];
-  const Member member = overrides_.apply(name, endpoint.listed_as);
-  if (value.disabled) {
-    stop_sending(endpoint, now);
-  } else if (member.phase == Phase::ready) {
-    endpoint.upstream->stop_sending_at(kNever);
-  }
-  return member;
+  if (endpoint.listed) update_sending(endpoint, now);
+  return NumberedOverride{found->second, value};
 }
 
 Endpoint* EndpointRegistry::find(ServerId id) {
--- a/src/engine/endpoint_registry.h
+++ b/src/engine/endpoint_registry.h
@@ -26,7 +26,13 @@
   std::size_t open_attempts = 0;
   bool listed = false;
   bool is_origin = false;
-  Member listed_as = {};  ///< as listed, without overrides
+  Phase listed_phase = Phase::gone;  ///< as listed, without overrides
+};
+
+/// An override for Router::on_override().
+struct NumberedOverride {
+  ServerId server = kNone;
+  EndpointOverride value;
 };
 
 /// Owns the endpoints and their upstreams, and applies endpoint lists and administrative overrides to them.
@@ -41,16 +47,21 @@
       : upstream_factory_(upstream_factory), origin_kind_(origin_kind), starts_(time) {}
 
   struct ListChange {
-    std::vector<Member> members;     ///< for Router::on_members()
-    std::vector<ServerId> departed;  ///< for forget_if_unused(), after Router::on_members()
+    Update update = Update::changes;
+    std::vector<NumberedOverride> overrides;  ///< for Router::on_override(), before Router::on_members()
+    std::vector<Member> members;              ///< as listed, for Router::on_members()
+    std::vector<ServerId> departed;           ///< for forget_if_unused(), after Router::on_members()
   };
 
-  /// Applies a complete list or changes. From `now` on no request is sent to draining or departed servers.
-  ListChange apply(Update update, const EndpointList& list, Time now);
+  /// Applies a complete list or changes that a source has sent. From `now` on no request is sent to draining
+  /// or departed servers.
+  ListChange apply(const EndpointList& list, Time now);
+  /// Applies a list that was known to an earlier process, as a complete one.
+  ListChange apply_stored(const EndpointList& list, Time now);
 
-  /// Sets an override; `value.started` is a Unix time in microseconds. Returns the member for
-  /// Router::on_members() if the server is listed.
-  std::optional<Member> set_override(const std::string& name, EndpointOverride value, Time now);
+  /// Sets an override; `value.started` is a Unix time in microseconds. Returns the override to report if the
+  /// server has a number; otherwise a list reports it with the server's number.
+  std::optional<NumberedOverride> set_override(const std::string& name, EndpointOverride value, Time now);
 
   /// Returns nullptr if the number is free or unknown.
   Endpoint* find(ServerId id);
@@ -86,8 +97,12 @@
   [[nodiscard]] std::size_t size() const { return endpoints_.size(); }
 
  private:
-  ServerId intern(const ListedEndpoint& listed);
+  ListChange apply_members(Update update, const EndpointList& list, Time now);
+  ServerId intern(const ListedEndpoint& listed, ListChange& change);
   Member update_endpoint(ServerId id, const ListedEndpoint& listed, Time now);
+  /// Whether new requests may be sent to the endpoint.
+  [[nodiscard]] bool is_enabled(const Endpoint& endpoint) const;
+  void update_sending(Endpoint& endpoint, Time now);
   /// Sends no request to the endpoint from `now` on; attempts that wait for a connection end as not sent. The
   /// discovery protocol allows a grace period after a server's departure, but the notification may have been
   /// delayed by an unknown part of it.
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -166,7 +166,8 @@
   void fill_caches(const OpenRequest& open, const Answer& answer);
 
   // Endpoints
-  void apply(Update update, const EndpointList& list);
+  void apply(const EndpointRegistry::ListChange& change);
+  void report_discovery(DiscoveryStatus status);
 
   // Time
   void process_pending_events();
@@ -191,7 +192,6 @@
   TimeSource& time_;
   Log log_;
   EndpointDiscovery* discovery_ = nullptr;
-  bool discovery_lost_ = false;  // no list has arrived since the last failure
   std::vector<Downstream*> downstreams_;
   bool draining_ = false;
 
--- a/src/engine/engine_control.cpp
+++ b/src/engine/engine_control.cpp
@@ -61,24 +61,26 @@
 
 // ---- Endpoint lists
 
-void Engine::apply(Update update, const EndpointList& list) {
-  const EndpointRegistry::ListChange change = endpoints_.apply(update, list, time_.now());
-  router_->on_members(time_.now(), update, change.members);
+void Engine::apply(const EndpointRegistry::ListChange& change) {
+  const Time now = time_.now();
+  for (const NumberedOverride& next : change.overrides) router_->on_override(now, next.server, next.value);
+  router_->on_members(now, change.update, change.members);
   process_pending_events();
   for (const ServerId id : change.departed) endpoints_.forget_if_unused(id);
 }
 
+void Engine::report_discovery(DiscoveryStatus status) { router_->on_discovery(time_.now(), status); }
+
 void Engine::on_endpoint_list(const EndpointList& list) {
   run_missed_ticks();
-  discovery_lost_ = false;
-  apply(list.complete ? Update::full : Update::changes, list);
+  report_discovery(DiscoveryStatus::answered);
+  apply(endpoints_.apply(list, time_.now()));
   process_pending_events();
 }
 
 void Engine::on_discovery_failed() {
   run_missed_ticks();
-  discovery_lost_ = true;
-  router_->on_members(time_.now(), Update::failed, {});
+  report_discovery(DiscoveryStatus::failed);
   process_pending_events();
 }
 
@@ -90,11 +92,10 @@
 
 void Engine::set_override(const std::string& name, bool is_disabled, Time started) {
   run_missed_ticks();
-  const std::optional<Member> member = endpoints_.set_override(name, {is_disabled, started}, time_.now());
-  if (!member) return;
-  router_->on_members(time_.now(), Update::changes, {&*member, 1});
-  // An override is not an answer from discovery: the Router must still retry a failed poll.
-  if (discovery_lost_) router_->on_members(time_.now(), Update::failed, {});
+  const std::optional<NumberedOverride> next =
+      endpoints_.set_override(name, {is_disabled, started}, time_.now());
+  if (!next) return;
+  router_->on_override(time_.now(), next->server, next->value);
   process_pending_events();
 }
 
--- a/src/policy/discovery_polling.cpp
+++ b/src/policy/discovery_polling.cpp
@@ -9,19 +9,19 @@
 // roster/watch_times.h relies on the maximum.
 constexpr Time kPollInterval = 300 * kMillisecond;
 constexpr double kMinPollJitterFactor = 0.5;
-// Maximum time from the receipt of a stale list to the next poll.
-constexpr Time kMaxStaleListDelay = kSecond;
+// Maximum time from the start to the first poll.
+constexpr Time kMaxFirstPollDelay = kSecond;
 
 }  // namespace
 
-void DiscoveryPolling::on_update(Update update, Time now) {
-  const bool succeeded = update != Update::stale && update != Update::failed;
-  is_watching_ = !config_.polls_discovery || succeeded;
+void DiscoveryPolling::on_status(DiscoveryStatus status, Time now) {
+  is_watching_ = !config_.polls_discovery || status == DiscoveryStatus::answered;
   if (is_watching_) {
     return;
   }
-  const Time wait = update == Update::stale ? scaled(kMaxStaleListDelay, random_.next())
-                                            : scaled(kPollInterval, kMinPollJitterFactor + random_.next());
+  const Time wait = status == DiscoveryStatus::not_polled
+                        ? scaled(kMaxFirstPollDelay, random_.next())
+                        : scaled(kPollInterval, kMinPollJitterFactor + random_.next());
   next_poll_ = now + wait;
   timers_.add(next_poll_, TimerKind::poll_discovery);
 }
--- a/src/policy/discovery_polling.h
+++ b/src/policy/discovery_polling.h
@@ -7,16 +7,17 @@
 namespace streampick::policy {
 
 /// Decides when to poll discovery for the endpoint list, in deployments where discovery has to be polled.
-/// After a failure it polls again with jitter; the last known list stays in use until then.
+/// After a failure it polls again with jitter; the last known list stays in use until then. Only what
+/// discovery itself has done counts: the content of the endpoint list and operators' overrides do not reach
+/// this class.
 /// `roster/watch_times.h` computes how stale the list can get.
 class DiscoveryPolling {
  public:
   DiscoveryPolling(const Config& config, RandomSource& random, TimerQueue& timers)
       : config_(config), random_(random), timers_(timers) {}
 
-  /// Handles an answer of discovery or its failure to answer. Draws one random number if another poll is
-  /// needed.
-  void on_update(Update update, Time now);
+  /// Schedules the next poll unless discovery has answered. Draws one random number for that.
+  void on_status(DiscoveryStatus status, Time now);
 
   /// Whether discovery has to be polled at `now`, when the timer is due.
   [[nodiscard]] bool is_due(Time now) const { return !is_watching_ && now >= next_poll_; }
--- a/src/policy/endpoint.h
+++ b/src/policy/endpoint.h
@@ -29,9 +29,11 @@
 };
 
 struct Endpoint {
-  // EndpointTable: the entry of the endpoint list.
+  // EndpointUpdates. `member` is the entry of the endpoint list with the operator's override applied.
   Member member;
   bool is_listed = false;
+  Member listed;  ///< the entry as listed
+  EndpointOverride admin_override;
 
   // ReadyEndpoints, as of its last refresh of the endpoint.
   bool is_ready = false;        ///< belongs to the ready endpoints
--- a/src/policy/endpoint_updates.cpp
+++ b/src/policy/endpoint_updates.cpp
@@ -15,9 +15,19 @@
   fresh.answers = endpoint.answers;
   fresh.is_ready = endpoint.is_ready;
   fresh.effective_weight = endpoint.effective_weight;
+  fresh.listed = endpoint.listed;
+  fresh.admin_override = endpoint.admin_override;
   return fresh;
 }
 
+Member overridden(Member listed, const EndpointOverride& value) {
+  if (value.disabled && listed.phase == Phase::ready) {
+    listed.phase = Phase::draining;
+  }
+  listed.started = std::max(listed.started, value.started);
+  return listed;
+}
+
 }  // namespace
 
 void EndpointUpdates::apply(Time now, Update update, std::span<const Member> members) {
@@ -25,7 +35,7 @@
     endpoints_.unlist_all();
   }
   for (const Member& member : members) {
-    apply(now, member);
+    apply_listed(now, member);
   }
   if (update == Update::changes) {
     for (const Member& member : members) {
@@ -38,8 +48,24 @@
   }
 }
 
-void EndpointUpdates::apply(Time now, const Member& member) {
-  Endpoint& endpoint = endpoints_.ensure(member.id);
+bool EndpointUpdates::set_override(Time now, ServerId id, const EndpointOverride& value) {
+  Endpoint& endpoint = endpoints_.ensure(id);
+  endpoint.admin_override = value;
+  if (!endpoint.is_listed) {
+    return false;
+  }
+  set_member(now, endpoint, overridden(endpoint.listed, value));
+  ready_.update_membership(endpoint, now);
+  return true;
+}
+
+void EndpointUpdates::apply_listed(Time now, const Member& listed) {
+  Endpoint& endpoint = endpoints_.ensure(listed.id);
+  endpoint.listed = listed;
+  set_member(now, endpoint, overridden(listed, endpoint.admin_override));
+}
+
+void EndpointUpdates::set_member(Time now, Endpoint& endpoint, const Member& member) {
   EndpointTable::leave_failure_domains(endpoint);
   const bool is_other_server = member.identity != endpoint.member.identity;
   if (is_other_server && endpoint.is_ready) {
--- a/src/policy/endpoint_updates.h
+++ b/src/policy/endpoint_updates.h
@@ -8,18 +8,22 @@
 
 namespace streampick::policy {
 
-/// Applies updates of the endpoint list to the table and to the ready endpoints. Has no state of its own.
+/// Applies updates of the endpoint list, and operators' overrides on top of it, to the table and to the ready
+/// endpoints. Has no state of its own.
 class EndpointUpdates {
  public:
   EndpointUpdates(const Config& config, EndpointTable& endpoints, ReadyEndpoints& ready)
       : config_(config), endpoints_(endpoints), ready_(ready) {}
 
-  /// Applies one update, which must not be Update::failed. Unless it is Update::changes, `members` is the
-  /// whole list, and endpoints that are missing from it become unlisted.
+  /// Applies one update. Endpoints that are missing from a full list become unlisted.
   void apply(Time now, Update update, std::span<const Member> members);
+  /// Replaces the override of one endpoint. Returns whether the endpoint is listed: otherwise the override
+  /// takes effect with the next list that contains it.
+  bool set_override(Time now, ServerId id, const EndpointOverride& value);
 
  private:
-  void apply(Time now, const Member& member);
+  void apply_listed(Time now, const Member& listed);
+  void set_member(Time now, Endpoint& endpoint, const Member& member);
   void update_origin(const Member& member);
 
   const Config& config_;
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -19,6 +19,12 @@
   impl_->on_members(now, update, members);
 }
 
+void Router::on_discovery(Time now, DiscoveryStatus status) { impl_->on_discovery(now, status); }
+
+void Router::on_override(Time now, ServerId server, const EndpointOverride& value) {
+  impl_->on_override(now, server, value);
+}
+
 void Router::on_request(Time now, const Request& request) { impl_->on_request(now, request); }
 
 void Router::on_deadline_extended(Time /*now*/, RequestId request, Time deadline) {
--- a/src/policy/router_impl.cpp
+++ b/src/policy/router_impl.cpp
@@ -51,12 +51,20 @@
   config_ = std::move(next);
 }
 
+void Router::Impl::on_discovery(Time now, DiscoveryStatus status) { discovery_.on_status(status, now); }
+
 void Router::Impl::on_members(Time now, Update update, std::span<const Member> members) {
-  discovery_.on_update(update, now);
-  if (update == Update::failed) {
-    return;
-  }
   endpoint_updates_.apply(now, update, members);
+  on_endpoints_changed(now);
+}
+
+void Router::Impl::on_override(Time now, ServerId server, const EndpointOverride& value) {
+  if (endpoint_updates_.set_override(now, server, value)) {
+    on_endpoints_changed(now);
+  }
+}
+
+void Router::Impl::on_endpoints_changed(Time now) {
   initialize_limits();
   origin_reads_.drain(now);
 }
--- a/src/policy/router_impl.h
+++ b/src/policy/router_impl.h
@@ -44,7 +44,9 @@
   Impl& operator=(const Impl&) = delete;
 
   void configure(Config next);
+  void on_discovery(Time now, DiscoveryStatus status);
   void on_members(Time now, Update update, std::span<const Member> members);
+  void on_override(Time now, ServerId server, const EndpointOverride& value);
   void on_request(Time now, const Request& request);
   void on_deadline_extended(RequestId id, Time deadline);
   void on_stream_started(RequestId id);
@@ -64,6 +66,7 @@
                         const AttemptResult& result, Time now);
   void on_request_timer(const policy::Timer& timer, Time now);
   void on_router_timer(policy::TimerKind kind, Time now);
+  void on_endpoints_changed(Time now);
   void initialize_limits();
   void drain_queues(Time now);
 
--- a/tests/policy/router_test.cpp
+++ b/tests/policy/router_test.cpp
@@ -32,13 +32,13 @@
   Config config = FakeHost::hedging_config();
   config.polls_discovery = true;
   FakeHost host(config);
-  host.router.on_members(host.now, Update::stale, host.list);
+  host.router.on_discovery(host.now, DiscoveryStatus::not_polled);
   std::vector<Time> intervals;
   for (int i = 0; i < 40; ++i) {
     const std::size_t polls_before = host.polls.size();
     while (host.polls.size() == polls_before) host.advance(10 * kMs);
     if (i > 0) intervals.push_back(host.polls[polls_before] - host.polls[polls_before - 1]);
-    host.router.on_members(host.now, Update::failed, {});
+    host.router.on_discovery(host.now, DiscoveryStatus::failed);
   }
   const auto [least, most] = std::minmax_element(intervals.begin(), intervals.end());
   EXPECT_GE(*least, 150 * kMs);
--- a/tests/takeover/upgrade_test.cpp
+++ b/tests/takeover/upgrade_test.cpp
@@ -268,6 +268,94 @@
   ::close(kept);
 }
 
+// ---- Overrides that a process finds in the shared folder before discovery has answered it
+
+enum class Discovery { push, ask };
+enum class Command { offline, offline_and_online };
+struct UpgradeCase {
+  std::string name;
+  Discovery discovery;
+  Command command;
+  int upgrades;
+  friend void PrintTo(const UpgradeCase& value, std::ostream* out) { *out << value.name; }
+};
+
+class OverridesOverUpgrades : public Takeover, public ::testing::WithParamInterface<UpgradeCase> {
+ protected:
+  static constexpr std::chrono::seconds kMaxNotification{6};  // of a change, from when discovery has it
+  static constexpr int kGraceMs = 2'000;                      // StopSendingWithinUs
+
+  OverridesOverUpgrades() {
+    third.answer = [](const std::string&) { return response(200, "x"); };
+    const auto servers = [&](std::uint64_t revision) {
+      return list_json(revision, true,
+                       {{"s-cache", cache.address()},
+                        {"s-second", second.address()},
+                        {"s-third", third.address()},
+                        {"s-origin", origin.address(), "origin"}});
+    };
+    list_ = servers(7).dump() + "\n";
+    const auto known = servers(1);
+    auto config = config_json(text_of(discovery.local_endpoint()), known);
+    config["listen"] = text_of(listener_.local_endpoint());
+    config["settings"]["RegistryMode"] = GetParam().discovery == Discovery::ask ? "ask" : "push";
+    std::ofstream(folder_ / "config.json") << config.dump();
+  }
+  void give_command(const net::tcp::endpoint& at) {
+    EXPECT_EQ(call(at, "OFFLINE s-cache").rfind("ACK", 0), 0U);
+    if (GetParam().command == Command::offline_and_online) {
+      EXPECT_EQ(call(at, "ONLINE s-cache").rfind("ACK", 0), 0U);
+    }
+  }
+  // Starts the next process and ends the one before. Returns whether the next one asked discovery in time.
+  bool upgrade(pid_t& process, net::tcp::endpoint& at) {
+    const std::size_t watches_before = watches_.size();
+    const auto started = std::chrono::steady_clock::now();
+    const net::tcp::endpoint next_at = free_port(io);
+    const pid_t next = run(next_at);
+    EXPECT_TRUE(becomes_ready(next_at));
+    const auto asked = [&] { return watches_.size() > watches_before && watches_.back()->muted; };
+    while (!asked() && std::chrono::steady_clock::now() - started < kMaxNotification) quiet(20);
+    EXPECT_EQ(::kill(process, SIGTERM), 0);
+    EXPECT_EQ(exit_code(process), 0);
+    process = next;
+    at = next_at;
+    return asked();
+  }
+
+  FakeServer third{io};
+};
+
+// Guards against a process that takes a stored override for discovery's answer: it never asks, and sends
+// requests to a server that drains.
+TEST_P(OverridesOverUpgrades, EachProcessAsksDiscoveryAndLearnsOfADrain) {
+  net::tcp::endpoint at = free_port(io);
+  pid_t process = run(at);
+  ASSERT_TRUE(becomes_ready(at));
+  give_command(at);
+  for (int i = 0; i < GetParam().upgrades; ++i) ASSERT_TRUE(upgrade(process, at)) << "upgrade " << i + 1;
+  const bool is_disabled = GetParam().command == Command::offline;
+  EXPECT_EQ(call(at, "DUMP").find("\"hosts_down\":1") != std::string::npos, is_disabled);
+
+  list_ = list_json(8, false, {{"s-second", second.address(), "box", "terminating"}}).dump() + "\n";
+  send_list_chunk(*watches_.back());
+  quiet(kGraceMs);
+  const std::size_t second_before = second.requests.size(), cache_before = cache.requests.size();
+  for (int key = 0; key < 40; ++key) ASSERT_EQ(status_of_read(key), 200);
+  EXPECT_EQ(second.requests.size(), second_before);
+  EXPECT_EQ(cache.requests.size() > cache_before, !is_disabled);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    AskAndPush, OverridesOverUpgrades,
+    ::testing::Values(UpgradeCase{"AskBanOneUpgrade", Discovery::ask, Command::offline, 1},
+                      UpgradeCase{"AskBanTwoUpgrades", Discovery::ask, Command::offline, 2},
+                      UpgradeCase{"AskLiftedOneUpgrade", Discovery::ask, Command::offline_and_online, 1},
+                      UpgradeCase{"AskLiftedTwoUpgrades", Discovery::ask, Command::offline_and_online, 2},
+                      UpgradeCase{"PushBanTwoUpgrades", Discovery::push, Command::offline, 2},
+                      UpgradeCase{"PushLiftedTwoUpgrades", Discovery::push, Command::offline_and_online, 2}),
+    [](const auto& info) { return info.param.name; });
+
 // ---- Takeovers that overlap a shutdown, a drain or another takeover
 
 class OverlappingTakeovers : public Takeover {
