Discovery polling: no poll by an earlier schedule's timer while one is in progress

Discovery may answer and fail before the first poll is due, as when SIGHUP moves it. The timer of the first poll and that of the poll after the failure were then both due, and each sent a call, which is work for a discovery that all routers share.

DiscoveryPolling has a state (not needed, scheduled, in progress) in place of a flag; a poll in progress ends with the next status.

--- a/src/policy/discovery_polling.cpp
+++ b/src/policy/discovery_polling.cpp
@@ -15,15 +15,24 @@
 }  // namespace
 
 void DiscoveryPolling::on_status(DiscoveryStatus status, Time now) {
-  is_watching_ = !config_.polls_discovery || status == DiscoveryStatus::answered;
-  if (is_watching_) {
+  if (!config_.polls_discovery || status == DiscoveryStatus::answered) {
+    state_ = State::not_needed;
     return;
   }
   const Time wait = status == DiscoveryStatus::not_polled
                         ? scaled(kMaxFirstPollDelay, random_.next())
                         : scaled(kPollInterval, kMinPollJitterFactor + random_.next());
+  state_ = State::scheduled;
   next_poll_ = now + wait;
   timers_.add(next_poll_, TimerKind::poll_discovery);
 }
 
+bool DiscoveryPolling::begin_due_poll(Time now) {
+  if (state_ != State::scheduled || now < next_poll_) {
+    return false;
+  }
+  state_ = State::in_progress;
+  return true;
+}
+
 }  // namespace streampick::policy
--- a/src/policy/discovery_polling.h
+++ b/src/policy/discovery_polling.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstdint>
+
 #include "policy/random_source.h"
 #include "policy/timer_queue.h"
 #include "streampick/router.h"
@@ -19,15 +21,22 @@
   /// Schedules the next poll unless discovery has answered. Draws one random number for that.
   void on_status(DiscoveryStatus status, Time now);
 
-  /// Whether discovery has to be polled at `now`, when the timer is due.
-  [[nodiscard]] bool is_due(Time now) const { return !is_watching_ && now >= next_poll_; }
+  /// Returns whether discovery has to be polled at `now`, when a timer is due. The poll is then in progress
+  /// until the next status.
+  [[nodiscard]] bool begin_due_poll(Time now);
 
  private:
+  enum class State : std::uint8_t {
+    not_needed,  // discovery has answered, or the settings use no polls
+    scheduled,   // due at next_poll_
+    in_progress,
+  };
+
   const Config& config_;
   RandomSource& random_;
   TimerQueue& timers_;
-  bool is_watching_ = false;  // discovery needs no poll: the last one succeeded, or the settings use none
-  Time next_poll_ = 0;
+  State state_ = State::not_needed;
+  Time next_poll_ = 0;  // the timers of earlier schedules are still in the queue
 };
 
 }  // namespace streampick::policy
--- a/src/policy/router_impl.cpp
+++ b/src/policy/router_impl.cpp
@@ -209,7 +209,7 @@
       break;
     case TimerKind::close_idle: connections_.close_expired(now); break;
     case TimerKind::poll_discovery:
-      if (discovery_.is_due(now)) {
+      if (discovery_.begin_due_poll(now)) {
         sink_.poll_discovery();
       }
       break;
--- a/tests/policy/endpoint_events_test.cpp
+++ b/tests/policy/endpoint_events_test.cpp
@@ -101,6 +101,19 @@
   EXPECT_TRUE(uses(host, 2, 1'000));
 }
 
+// Discovery may answer and fail unasked, as when SIGHUP moves it: the poll that was due before is not sent in
+// addition to the one after the failure.
+TEST(EndpointEvents, FailureBeforeTheFirstPoll_IsFollowedByOnePoll) {
+  for (unsigned seed = 1; seed <= 50; ++seed) {
+    FakeHost host(polled_config(), kCaches, seed);
+    host.router.on_discovery(host.now, DiscoveryStatus::not_polled);
+    host.router.on_discovery(host.now, DiscoveryStatus::answered);
+    host.router.on_discovery(host.now, DiscoveryStatus::failed);
+    host.advance(10 * kMaxFirstPoll);
+    ASSERT_EQ(host.polls.size(), 1U) << "seed " << seed;
+  }
+}
+
 // One drawn event that is none of discovery.
 void draw_other_event(FakeHost& host, std::minstd_rand& random) {
   const auto server = static_cast<ServerId>(random() % kCaches);
