Sources: a list from etcd is no answer of the platform's discovery

Where discovery is asked, a list of etcd's ended the polls of the platform; a failed watch of the platform was not repeated while etcd led, and a failure of etcd's caused polls of the platform. Drains that only the platform tells did not arrive.

engine::MergedListObserver has on_merged_list() and, apart from it, what the polled source has done. Sources knows only that interface. RosterSources.FailureOfSecondarySource_IsNotForwarded expected the fault (no failure of the platform once etcd leads, those of etcd instead); AnswersAndFailures_AreThePlatformsWhicheverSourceLeads replaces it and counts each of the calls as before.

--- a/src/engine/endpoint_discovery.h
+++ b/src/engine/endpoint_discovery.h
@@ -23,6 +23,7 @@
   std::vector<ListedEndpoint> members;
 };
 
+/// Receives what one source of endpoint lists sends.
 class EndpointListObserver {
  public:
   virtual ~EndpointListObserver() = default;
@@ -31,6 +32,17 @@
   virtual void on_discovery_failed() = 0;
 };
 
+/// Receives lists that are merged from several sources and, apart from them, what the one source does that
+/// EndpointDiscovery::watch() asks. A merged list is no answer of that source: another one may have caused
+/// it.
+class MergedListObserver {
+ public:
+  virtual ~MergedListObserver() = default;
+  virtual void on_merged_list(const EndpointList& list) = 0;
+  virtual void on_discovery_answered() = 0;
+  virtual void on_discovery_failed() = 0;
+};
+
 class EndpointDiscovery {
  public:
   virtual ~EndpointDiscovery() = default;
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -49,6 +49,7 @@
 class Engine final : public ActionSink,
                      public RequestHandler,
                      public EndpointListObserver,
+                     public MergedListObserver,
                      public AttemptObserver {
  public:
   using Log = std::function<void(std::string_view)>;
@@ -128,8 +129,11 @@
   void on_body_complete(RequestId request) override;
   void on_rejected_unread(std::uint32_t request_class) override;
 
-  // EndpointListObserver: called by discovery.
+  // EndpointListObserver: called by discovery where it is the only source of lists.
   void on_endpoint_list(const EndpointList& list) override;
+  // MergedListObserver: called by the merger where there are more.
+  void on_merged_list(const EndpointList& list) override;
+  void on_discovery_answered() override;
   void on_discovery_failed() override;
 
   // AttemptObserver: called by upstreams.
--- a/src/engine/engine_control.cpp
+++ b/src/engine/engine_control.cpp
@@ -72,12 +72,22 @@
 void Engine::report_discovery(DiscoveryStatus status) { router_->on_discovery(time_.now(), status); }
 
 void Engine::on_endpoint_list(const EndpointList& list) {
+  on_discovery_answered();
+  on_merged_list(list);
+}
+
+void Engine::on_merged_list(const EndpointList& list) {
   run_missed_ticks();
-  report_discovery(DiscoveryStatus::answered);
   apply(endpoints_.apply(list, time_.now()));
   process_pending_events();
 }
 
+void Engine::on_discovery_answered() {
+  run_missed_ticks();
+  report_discovery(DiscoveryStatus::answered);
+  process_pending_events();
+}
+
 void Engine::on_discovery_failed() {
   run_missed_ticks();
   report_discovery(DiscoveryStatus::failed);
--- a/src/roster/sources.h
+++ b/src/roster/sources.h
@@ -9,6 +9,9 @@
 //     gets no new requests, whatever the other source reports. This lasts until the source that reported the
 //     departure lists the server again, or until the other source has reported the departure too: from then
 //     on the other source's entries for this id describe another process.
+//   - The engine polls the platform's discovery, where that has to be polled. So only what the platform does
+//     is reported as an answer or a failure, whichever source leads: the second source connects again by
+//     itself.
 #pragma once
 
 #include <map>
@@ -23,7 +26,7 @@
 
 class Sources {
  public:
-  explicit Sources(engine::EndpointListObserver& engine)
+  explicit Sources(engine::MergedListObserver& engine)
       : engine_(engine), platform_(*this, 0), second_(*this, 1) {}
 
   engine::EndpointListObserver& platform() { return platform_; }
@@ -34,10 +37,14 @@
  private:
   struct Source final : engine::EndpointListObserver {
     Source(Sources& sources, int source_index) : owner(sources), index(source_index) {}
-    void on_endpoint_list(const engine::EndpointList& list) override { owner.on_list(*this, list); }
+    void on_endpoint_list(const engine::EndpointList& list) override {
+      if (is_platform()) owner.engine_.on_discovery_answered();
+      owner.on_list(*this, list);
+    }
     void on_discovery_failed() override {
-      if ((index == 1) == owner.second_.has_complete_list) owner.engine_.on_discovery_failed();
+      if (is_platform()) owner.engine_.on_discovery_failed();
     }
+    bool is_platform() const { return index == 0; }
     Sources& owner;
     int index;  // 0: the platform's, 1: the second
     bool has_complete_list = false;
@@ -118,7 +125,7 @@
         published_.insert_or_assign(id, *listed);
       }
     }
-    if (!gone.members.empty()) engine_.on_endpoint_list(gone);
+    if (!gone.members.empty()) engine_.on_merged_list(gone);
     const bool primary = (source.index == 1) == second_.has_complete_list;
     if (from.complete && primary) {
       // A complete list shows the engine that no server is missing.
@@ -126,13 +133,13 @@
       all.revision = from.revision;
       all.complete = true;
       for (const auto& [id, listed] : published_) all.members.push_back(listed);
-      engine_.on_endpoint_list(all);
+      engine_.on_merged_list(all);
     } else if (!now.members.empty()) {
-      engine_.on_endpoint_list(now);
+      engine_.on_merged_list(now);
     }
   }
 
-  engine::EndpointListObserver& engine_;
+  engine::MergedListObserver& engine_;
   Source platform_, second_;
   std::map<std::string, engine::ListedEndpoint> published_;
 };
--- a/tests/roster/sources_test.cpp
+++ b/tests/roster/sources_test.cpp
@@ -28,8 +28,8 @@
 }
 
 // Keeps the roster that an engine would have.
-struct Engine final : engine::EndpointListObserver {
-  void on_endpoint_list(const engine::EndpointList& list) override {
+struct Engine final : engine::MergedListObserver {
+  void on_merged_list(const engine::EndpointList& list) override {
     if (list.complete) {
       std::map<std::string, engine::ListedEndpoint> whole;
       for (const auto& one : list.members) whole[one.id] = one;
@@ -47,6 +47,7 @@
       }
     }
   }
+  void on_discovery_answered() override { ++answered; }
   void on_discovery_failed() override { ++failed; }
   std::string all() const {
     std::string out;
@@ -55,7 +56,7 @@
   }
   std::map<std::string, engine::ListedEndpoint> there;
   std::vector<std::string> departures;
-  int failed = 0, wholes = 0, vanished = 0;
+  int answered = 0, failed = 0, wholes = 0, vanished = 0;
 };
 
 TEST(RosterSources, FirstCompleteListOfSecondSource_SwitchesOverWithDifferencesOnly) {
@@ -104,7 +105,7 @@
   EXPECT_EQ(engine.departures, std::vector<std::string>{"a"});
 }
 
-TEST(RosterSources, FailureOfSecondarySource_IsNotForwarded) {
+TEST(RosterSources, AnswersAndFailures_AreThePlatformsWhicheverSourceLeads) {
   Engine engine;
   Sources sources(engine);
   sources.secondary().on_discovery_failed();
@@ -112,10 +113,13 @@
   sources.platform().on_discovery_failed();
   EXPECT_EQ(engine.failed, 1);
   sources.secondary().on_endpoint_list(list(true, {server("a")}));
+  EXPECT_EQ(engine.answered, 0);
   sources.platform().on_discovery_failed();
-  EXPECT_EQ(engine.failed, 1);
+  EXPECT_EQ(engine.failed, 2);
   sources.secondary().on_discovery_failed();
   EXPECT_EQ(engine.failed, 2);
+  sources.platform().on_endpoint_list(list(true, {server("a")}));
+  EXPECT_EQ(engine.answered, 1);
 }
 
 TEST(RosterMailbox, RepeatedChanges_KeepOneEntryPerServerAndEachDeparture) {
@@ -150,12 +154,12 @@
         const auto phase = static_cast<Phase>(random() % 3);
         one.members.push_back(server(id, phase, "127.0.0.1:" + std::to_string(random() % 9)));
       }
-      straight.on_endpoint_list(one);
+      straight.on_merged_list(one);
       box.put(one);
       if (random() % 10 == 0)
-        for (const auto& taken : box.take()) by_box.on_endpoint_list(taken);
+        for (const auto& taken : box.take()) by_box.on_merged_list(taken);
     }
-    for (const auto& taken : box.take()) by_box.on_endpoint_list(taken);
+    for (const auto& taken : box.take()) by_box.on_merged_list(taken);
     EXPECT_EQ(by_box.all(), straight.all()) << seed;
     EXPECT_EQ(by_box.vanished, 0) << seed;
     for (const auto& [id, one] : straight.there) EXPECT_EQ(by_box.there.at(id).address, one.address) << seed;
