Sources: a stored endpoint list is a layer of its own, not an answer of etcd

Started while etcd is unreachable, a router took its seed file for etcd's list: it went on sending to a cache server that the platform no longer listed, and sent nothing to those that only the platform listed. The configuration's list was missing in Sources altogether: a departure of a server that only it named was dropped.

engine::StoredEndpointList is a type that observers of sources do not take; the seed file is decoded to it. Sources keeps it below what the sources send until one of them has sent a complete list. EtcdRoster hands it to UseSeed in place of asking a predicate.

Now: that test, RosterSources.* and streampick_etcd_tests (29) pass.

--- a/bench/roster/roster.cpp
+++ b/bench/roster/roster.cpp
@@ -129,7 +129,8 @@
   Observer observer;
   {
     etcd::EtcdRoster roster(
-        io, names, options_for(server.address()), 7, observer, [] { return false; }, [](std::string_view) {});
+        io, names, options_for(server.address()), 7, observer,
+        [](const engine::StoredEndpointList&) { return false; }, [](std::string_view) {});
     while (observer.members < static_cast<std::size_t>(members) || server.open_watches == 0)
       std::this_thread::sleep_for(1ms);
     std::printf("%d members: listed in %.0f ms, %.0f ms of CPU time (stand-in included), %ld KB\n", members,
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -20,7 +20,8 @@
 #ifdef STREAMPICK_WITH_ETCD
 void Host::start_etcd_roster(const etcd::Options& options, std::uint64_t seed) {
   etcd_ = std::make_unique<etcd::EtcdRoster>(
-      io_, names_, options, seed, sources_->secondary(), [this] { return sources_->published_count() == 0; },
+      io_, names_, options, seed, sources_->secondary(),
+      [this](const engine::StoredEndpointList& stored) { return sources_->use_stored(stored); },
       [](std::string_view text) { net::log(text); });
 }
 #endif
@@ -110,7 +111,7 @@
   platform_lists_.next = engine_.get();
 #ifdef STREAMPICK_WITH_ETCD
   if (has_second_source) {
-    sources_ = std::make_unique<roster::Sources>(*engine_);
+    sources_ = std::make_unique<roster::Sources>(*engine_, settings.known);
     platform_lists_.next = &sources_->platform();
   }
 #endif
--- a/src/engine/endpoint_discovery.h
+++ b/src/engine/endpoint_discovery.h
@@ -23,6 +23,12 @@
   std::vector<ListedEndpoint> members;
 };
 
+/// A complete list that an earlier process has stored. No source vouches for it now, so it is no answer of
+/// one.
+struct StoredEndpointList {
+  EndpointList list;
+};
+
 /// Receives what one source of endpoint lists sends.
 class EndpointListObserver {
  public:
@@ -39,6 +45,8 @@
  public:
   virtual ~MergedListObserver() = default;
   virtual void on_merged_list(const EndpointList& list) = 0;
+  /// To be used until a source has sent a complete list.
+  virtual void on_stored_list(const StoredEndpointList& stored) = 0;
   virtual void on_discovery_answered() = 0;
   virtual void on_discovery_failed() = 0;
 };
--- a/src/engine/endpoint_registry.cpp
+++ b/src/engine/endpoint_registry.cpp
@@ -9,9 +9,9 @@
   return apply_members(list.complete ? Update::full : Update::changes, list, now);
 }
 
-EndpointRegistry::ListChange EndpointRegistry::apply_stored(const EndpointList& list, Time now) {
-  starts_.known_at_start(list);
-  return apply_members(Update::full, list, now);
+EndpointRegistry::ListChange EndpointRegistry::apply_stored(const StoredEndpointList& stored, Time now) {
+  starts_.known_at_start(stored.list);
+  return apply_members(Update::full, stored.list, now);
 }
 
 EndpointRegistry::ListChange EndpointRegistry::apply_members(Update update, const EndpointList& list,
--- a/src/engine/endpoint_registry.h
+++ b/src/engine/endpoint_registry.h
@@ -56,8 +56,8 @@
   /// Applies a complete list or changes that a source has sent. From `now` on no request is sent to draining
   /// or departed servers.
   ListChange apply(const EndpointList& list, Time now);
-  /// Applies a list that was known to an earlier process, as a complete one.
-  ListChange apply_stored(const EndpointList& list, Time now);
+  /// Applies a list that was known to an earlier process.
+  ListChange apply_stored(const StoredEndpointList& stored, Time now);
 
   /// Sets an override; `value.started` is a Unix time in microseconds. Returns the override to report if the
   /// server has a number; otherwise a list reports it with the server's number.
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -40,7 +40,7 @@
 void Engine::start(EndpointDiscovery& discovery, const EndpointList& known) {
   discovery_ = &discovery;
   report_discovery(DiscoveryStatus::not_polled);
-  apply(endpoints_.apply_stored(known, time_.now()));
+  apply(endpoints_.apply_stored({known}, time_.now()));
   periodic_timer_->set(time_.now() + kSecond);
   process_pending_events();
 }
--- a/src/engine/engine.h
+++ b/src/engine/engine.h
@@ -133,6 +133,7 @@
   void on_endpoint_list(const EndpointList& list) override;
   // MergedListObserver: called by the merger where there are more.
   void on_merged_list(const EndpointList& list) override;
+  void on_stored_list(const StoredEndpointList& stored) override;
   void on_discovery_answered() override;
   void on_discovery_failed() override;
 
--- a/src/engine/engine_control.cpp
+++ b/src/engine/engine_control.cpp
@@ -82,6 +82,12 @@
   process_pending_events();
 }
 
+void Engine::on_stored_list(const StoredEndpointList& stored) {
+  run_missed_ticks();
+  apply(endpoints_.apply_stored(stored, time_.now()));
+  process_pending_events();
+}
+
 void Engine::on_discovery_answered() {
   run_missed_ticks();
   report_discovery(DiscoveryStatus::answered);
--- a/src/roster/etcd/client.cpp
+++ b/src/roster/etcd/client.cpp
@@ -75,8 +75,7 @@
 class EtcdRoster::Worker final : WatcherActions {
  public:
   Worker(asio::io_context& io, const Names& names, const Options& options, std::uint64_t seed,
-         engine::EndpointListObserver& observer, std::function<bool()> use_seed,
-         std::function<void(std::string_view)> log)
+         engine::EndpointListObserver& observer, UseSeed use_seed, std::function<void(std::string_view)> log)
       : io_(io),
         names_(names),
         options_(options),
@@ -133,7 +132,7 @@
     roster::Mailbox mailbox;
     std::deque<std::string> lines;
     bool urgent = false, stale = false, posted = false, ended = false;
-    std::optional<engine::EndpointList> seed;
+    std::optional<engine::StoredEndpointList> seed;
     ClientCounts counts;
   };
   struct Endpoint {
@@ -454,7 +453,7 @@
   void deliver() {
     std::vector<engine::EndpointList> lists;
     std::deque<std::string> lines;
-    std::optional<engine::EndpointList> seed;
+    std::optional<engine::StoredEndpointList> seed;
     bool stale = false;
     {
       const std::lock_guard lock(shared_->mutex);
@@ -466,10 +465,9 @@
     }
     last_delivery_ = std::chrono::steady_clock::now();
     for (const std::string& line : lines) log_(line);
-    if (seed && lists.empty() && use_seed_()) {
-      log_("etcd: unreachable; using " + std::to_string(seed->members.size()) +
+    if (seed && lists.empty() && use_seed_(*seed)) {
+      log_("etcd: unreachable; using " + std::to_string(seed->list.members.size()) +
            " servers from the seed file");
-      observer_.on_endpoint_list(*seed);
       stale = true;
     }
     for (const auto& list : lists) observer_.on_endpoint_list(list);
@@ -484,7 +482,6 @@
       seed_read_ = true;
       auto list = seed_file_.load(names_, unix_ms(), milliseconds(options_.seed_most_age_ms));
       if (!list) return;
-      list->complete = true;
       const std::lock_guard lock(shared_->mutex);
       shared_->seed = std::move(list);
       post();
@@ -521,7 +518,7 @@
   const Names names_;
   const Options options_;
   engine::EndpointListObserver& observer_;
-  std::function<bool()> use_seed_;
+  UseSeed use_seed_;
   std::function<void(std::string_view)> log_;
   asio::steady_timer timer_;
   std::chrono::steady_clock::time_point last_delivery_{};
@@ -543,7 +540,7 @@
 };
 
 EtcdRoster::EtcdRoster(asio::io_context& io, const Names& names, const Options& options, std::uint64_t seed,
-                       engine::EndpointListObserver& observer, std::function<bool()> use_seed,
+                       engine::EndpointListObserver& observer, UseSeed use_seed,
                        std::function<void(std::string_view)> log)
     : worker_(std::make_unique<Worker>(io, names, options, seed, observer, std::move(use_seed),
                                        std::move(log))) {}
--- a/src/roster/etcd/client.h
+++ b/src/roster/etcd/client.h
@@ -26,12 +26,14 @@
 
 class EtcdRoster {
  public:
-  // `observer` receives the lists, and on_discovery_failed() when they count as stale. If etcd hasn't
-  // answered within the first response timeout, `use_seed` decides whether the list from the seed file is
-  // used. These and `log` are called on the event loop of `io` and not after the destructor; all must outlive
-  // this object.
+  // Receives the list from the seed file and returns whether it is used.
+  using UseSeed = std::function<bool(const engine::StoredEndpointList&)>;
+
+  // `observer` receives etcd's lists, and on_discovery_failed() when they count as stale. If etcd hasn't
+  // answered within the first response timeout, `use_seed` receives the list from the seed file. These and
+  // `log` are called on the event loop of `io` and not after the destructor; all must outlive this object.
   EtcdRoster(boost::asio::io_context& io, const Names& names, const Options& options, std::uint64_t seed,
-             engine::EndpointListObserver& observer, std::function<bool()> use_seed,
+             engine::EndpointListObserver& observer, UseSeed use_seed,
              std::function<void(std::string_view)> log);
   ~EtcdRoster();
   EtcdRoster(const EtcdRoster&) = delete;
--- a/src/roster/etcd/seed.cpp
+++ b/src/roster/etcd/seed.cpp
@@ -60,9 +60,9 @@
   return std::string(kMagic) + checksum_of(content) + " " + content;
 }
 
-std::variant<engine::EndpointList, SeedError> decode_seed(const std::string& text, const Names& names,
-                                                          long long unix_ms,
-                                                          std::chrono::milliseconds max_age) {
+std::variant<engine::StoredEndpointList, SeedError> decode_seed(const std::string& text, const Names& names,
+                                                                long long unix_ms,
+                                                                std::chrono::milliseconds max_age) {
   using Kind = SeedError::Kind;
   constexpr std::size_t kHeaderSize = kMagic.size() + kChecksumSize + 1;
   if (text.size() > kMaxSeedSize || text.size() < kHeaderSize || !text.starts_with(kMagic))
@@ -80,7 +80,9 @@
     return SeedError{Kind::too_old, "it is " + std::to_string(seconds.count()) + " s old"};
   }
   try {
-    return discovery::parse_members(content.substr(line_end + 1), names);
+    engine::StoredEndpointList stored{discovery::parse_members(content.substr(line_end + 1), names)};
+    stored.list.complete = true;
+    return stored;
   } catch (const JsonError& error) {
     return SeedError{Kind::malformed_list, error.what()};
   }
--- a/src/roster/etcd/seed.h
+++ b/src/roster/etcd/seed.h
@@ -32,8 +32,8 @@
 
 /// Rejects a text older than `max_age`. A text with a time in the future, as after the wall clock was set
 /// back, is accepted.
-std::variant<engine::EndpointList, SeedError> decode_seed(const std::string& text, const Names& names,
-                                                          long long unix_ms,
-                                                          std::chrono::milliseconds max_age);
+std::variant<engine::StoredEndpointList, SeedError> decode_seed(const std::string& text, const Names& names,
+                                                                long long unix_ms,
+                                                                std::chrono::milliseconds max_age);
 
 }  // namespace streampick::etcd
--- a/src/roster/etcd/seed_file.cpp
+++ b/src/roster/etcd/seed_file.cpp
@@ -10,8 +10,8 @@
   if (!path_.empty()) storage::remove_stale_temporaries(path_, calls_);
 }
 
-std::optional<engine::EndpointList> SeedFile::load(const Names& names, long long unix_ms,
-                                                   std::chrono::milliseconds max_age) {
+std::optional<engine::StoredEndpointList> SeedFile::load(const Names& names, long long unix_ms,
+                                                         std::chrono::milliseconds max_age) {
   if (path_.empty()) return std::nullopt;
   const auto content = storage::read_file(path_, kMaxSeedSize, calls_);
   if (const auto* error = std::get_if<storage::FileError>(&content)) {
@@ -23,7 +23,7 @@
     log_("etcd: " + path_ + " is not used: " + error->message);
     return std::nullopt;
   }
-  return std::get<engine::EndpointList>(std::move(seed));
+  return std::get<engine::StoredEndpointList>(std::move(seed));
 }
 
 void SeedFile::store(Time now, const engine::EndpointList& list, const Names& names, long long unix_ms) {
--- a/src/roster/etcd/seed_file.h
+++ b/src/roster/etcd/seed_file.h
@@ -23,8 +23,8 @@
   SeedFile(std::string path, Log log, storage::FileCalls& calls = storage::FileCalls::system());
 
   /// Reads the file. If it can't be used, logs its path and the reason.
-  std::optional<engine::EndpointList> load(const Names& names, long long unix_ms,
-                                           std::chrono::milliseconds max_age);
+  std::optional<engine::StoredEndpointList> load(const Names& names, long long unix_ms,
+                                                 std::chrono::milliseconds max_age);
 
   /// Records that the roster is newer than the file.
   void mark_changed() { has_changed_ = true; }
--- a/src/roster/sources.h
+++ b/src/roster/sources.h
@@ -1,6 +1,7 @@
 // Merges two sources of one roster, the platform's discovery and a second one, and notifies the engine of the
 // changes. No I/O.
 //
+//   - Until a source has sent a complete list, a stored one is used, with the changes that the sources send.
 //   - Until the second source has sent a complete list, the platform's lists are used.
 //   - From then on the second source is the primary one: a server is in the roster if the second source lists
 //     it. The switch-over notifies the engine of the differences only, so that servers which both sources
@@ -26,13 +27,23 @@
 
 class Sources {
  public:
-  explicit Sources(engine::MergedListObserver& engine)
-      : engine_(engine), platform_(*this, 0), second_(*this, 1) {}
+  // `known`: the stored list that the engine has been started with.
+  explicit Sources(engine::MergedListObserver& engine, const engine::EndpointList& known = {})
+      : engine_(engine), platform_(*this, 0), second_(*this, 1) {
+    set_stored(known);
+  }
+
+  // Replaces the stored list unless a source has sent something. Returns whether it did.
+  bool use_stored(const engine::StoredEndpointList& stored) {
+    if (has_received_) return false;
+    set_stored(stored.list);
+    engine_.on_stored_list(stored);
+    return true;
+  }
 
   engine::EndpointListObserver& platform() { return platform_; }
   engine::EndpointListObserver& secondary() { return second_; }
   bool second_leads() const { return second_.has_complete_list; }
-  std::size_t published_count() const { return published_.size(); }
 
  private:
   struct Source final : engine::EndpointListObserver {
@@ -52,9 +63,19 @@
     std::set<std::string> gone;  // ids that it reported as gone and has not listed since
   };
 
+  void set_stored(const engine::EndpointList& list) {
+    stored_.clear();
+    for (const engine::ListedEndpoint& listed : list.members)
+      if (listed.member.phase != Phase::gone) stored_.insert_or_assign(listed.id, listed);
+    published_ = stored_;
+  }
   void on_list(Source& source, const engine::EndpointList& list) {
+    has_received_ = true;
     std::set<std::string> changed;
     if (list.complete) {
+      // The stored list may hold servers that no source knows.
+      for (const auto& [id, listed] : stored_) changed.insert(id);
+      stored_.clear();
       for (const auto& [id, member] : source.members) changed.insert(id);
       // Servers missing from a complete list have left, also if their departure was not reported.
       std::set<std::string> listed_ids;
@@ -70,6 +91,7 @@
       changed.insert(listed.id);
       if (listed.member.phase == Phase::gone) {
         source.members.erase(listed.id);
+        stored_.erase(listed.id);
         mark_gone(source, listed.id);
       } else {
         source.members[listed.id] = listed;
@@ -93,15 +115,21 @@
   const engine::ListedEndpoint* effective(const std::string& id, engine::ListedEndpoint& merged) const {
     const Source& primary = second_.has_complete_list ? second_ : platform_;
     const Source& other = second_.has_complete_list ? platform_ : second_;
-    const auto found = primary.members.find(id);
-    if (found == primary.members.end() || other.gone.contains(id)) return nullptr;
+    const engine::ListedEndpoint* const listed = entry_of(primary, id);
+    if (listed == nullptr || other.gone.contains(id)) return nullptr;
     const auto from_other = other.members.find(id);
-    if (from_other == other.members.end() || from_other->second.member.phase <= found->second.member.phase)
-      return &found->second;
-    merged = found->second;
+    if (from_other == other.members.end() || from_other->second.member.phase <= listed->member.phase)
+      return listed;
+    merged = *listed;
     merged.member.phase = from_other->second.member.phase;
     return &merged;
   }
+  // The primary source's entry or, until a source has sent a complete list, the stored one.
+  const engine::ListedEndpoint* entry_of(const Source& primary, const std::string& id) const {
+    if (const auto found = primary.members.find(id); found != primary.members.end()) return &found->second;
+    const auto stored = stored_.find(id);
+    return stored == stored_.end() ? nullptr : &stored->second;
+  }
   static bool same(const engine::ListedEndpoint& a, const engine::ListedEndpoint& b) {
     return a.address == b.address && a.member.zone == b.member.zone && a.member.kind == b.member.kind &&
            a.member.cell == b.member.cell && a.member.phase == b.member.phase &&
@@ -141,7 +169,9 @@
 
   engine::MergedListObserver& engine_;
   Source platform_, second_;
+  std::map<std::string, engine::ListedEndpoint> stored_;  // empty once a source has sent a complete list
   std::map<std::string, engine::ListedEndpoint> published_;
+  bool has_received_ = false;  // some source has sent a list
 };
 
 }  // namespace streampick::roster
--- a/tests/plugin/fleet.h
+++ b/tests/plugin/fleet.h
@@ -68,6 +68,15 @@
       discovery_->change(members, delay.count() > 0);
     });
   }
+  // Removes the server from the list, which watches that start later receive after the delay.
+  void unlist(std::size_t server, std::chrono::milliseconds delay) {
+    on([&] {
+      std::vector<standin::PlatformMember> others = members;
+      others.erase(others.begin() + static_cast<std::ptrdiff_t>(server));
+      discovery_->delay = delay;
+      discovery_->change(others, true);
+    });
+  }
   std::size_t watches() {
     std::size_t all = 0;
     on([&] { all = discovery_->watches(); });
--- a/tests/roster/etcd/client_test.cpp
+++ b/tests/roster/etcd/client_test.cpp
@@ -76,7 +76,11 @@
     options.endpoints = endpoints.empty() ? std::vector<std::string>{server.address()} : std::move(endpoints);
     options.watcher.endpoints = options.endpoints.size();
     roster = std::make_unique<EtcdRoster>(
-        io, names, options, 7, reader, [this] { return use_seed; },
+        io, names, options, 7, reader,
+        [this](const engine::StoredEndpointList& stored) {
+          if (use_seed) reader.on_endpoint_list(stored.list);
+          return use_seed;
+        },
         [this](std::string_view line) { log.emplace_back(line); });
   }
   [[nodiscard]] bool wait_for(const std::function<bool()>& holds) {
@@ -381,7 +385,8 @@
   std::vector<std::unique_ptr<EtcdRoster>> routers;
   for (std::size_t i = 0; i < kRouters; ++i)
     routers.push_back(std::make_unique<EtcdRoster>(
-        io, names, options, 7919 * (i + 1), readers[i], [] { return false; }, [](std::string_view) {}));
+        io, names, options, 7919 * (i + 1), readers[i],
+        [](const engine::StoredEndpointList&) { return false; }, [](std::string_view) {}));
   ASSERT_TRUE(wait_for([&] { return server.open_watches == kRouters; }));
   server.set({.unavailable = true});
   ASSERT_TRUE(wait_for([&] { return server.open_watches == 0; }));
--- a/tests/roster/etcd/daemon_test.cpp
+++ b/tests/roster/etcd/daemon_test.cpp
@@ -4,10 +4,14 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <chrono>
 #include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <thread>
 
 #include "plugin/fleet.h"
+#include "roster/etcd/seed.h"
 #include "standin/etcd/server.h"
 #include "standin/http_client.h"
 
@@ -127,6 +131,71 @@
   std::filesystem::remove(log);
 }
 
+std::string text_of(const std::filesystem::path& file) {
+  std::ifstream in(file);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
+// The list of a seed file with one cache server and the origin.
+engine::EndpointList stored_list(const StandinFleet& fleet, std::size_t cache) {
+  engine::EndpointList out;
+  for (const std::size_t i : {cache, fleet.members.size() - 1}) {
+    const standin::PlatformMember& member = fleet.members.at(i);
+    engine::ListedEndpoint listed{member.id, member.address, {}};
+    listed.member.identity = hash_name(member.id);
+    listed.member.zone = 0;
+    listed.member.kind = member.origin ? 1 : 0;
+    out.members.push_back(listed);
+  }
+  return out;
+}
+
+// Guards against a seed file that is taken for an answer of etcd: a cache server that the platform no longer
+// lists would get requests, and those that it lists none, for as long as etcd can't be reached.
+TEST(EtcdDaemon, SeedFileWithADepartedCache_GivesWayToThePlatformsList) {
+  constexpr std::size_t kDeparted = 0, kListed = 1;
+  StandinFleet fleet(kCaches, 1ms);
+  standin::EtcdServer server;
+  server.set({.unavailable = true});
+  fleet.unlist(kDeparted, 800ms);  // the seed file is used before the platform's list arrives
+
+  const auto folder =
+      std::filesystem::temp_directory_path() / ("streampick-seed-" + std::to_string(::getpid()));
+  std::filesystem::create_directories(folder);
+  Names names;
+  names.zones = {"a"};
+  names.kinds = {"cache", "origin"};
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const long long unix_ms = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  std::ofstream(folder / "seed") << etcd::encode_seed(stored_list(fleet, kDeparted), names, unix_ms);
+
+  boost::asio::io_context io;
+  const std::string address = "127.0.0.1:" + std::to_string(standin::free_port(io));
+  auto config = nlohmann::json::parse(fleet.settings.config);
+  config["listen"] = address;
+  config["known"]["members"] = nlohmann::json::array();
+  standin::RouterProcess router(STREAMPICK_ROUTER, config,
+                                "[roster.etcd]\nendpoints = [\"" + server.address() +
+                                    "\"]\nprefix = \"/fleet/\"\nsilence_ms = 100\nanswer_ms = 100\n"
+                                    "stale_after_ms = 1000\nseed_file = \"" +
+                                    (folder / "seed").string() + "\"\n",
+                                folder / "log");
+  for (int tries = 0; tries < 1'000 && fleet.watches() == 0; ++tries) std::this_thread::sleep_for(10ms);
+  ASSERT_EQ(fleet.watches(), 1U);  // the router listens
+  {
+    Load load(address);
+    for (int tries = 0; tries < 1'000 && fleet.requests_at(kListed) < 5; ++tries)
+      std::this_thread::sleep_for(10ms);
+    EXPECT_GE(fleet.requests_at(kListed), 5U);
+    const std::uint64_t then = fleet.requests_at(kDeparted);
+    std::this_thread::sleep_for(500ms);
+    EXPECT_EQ(fleet.requests_at(kDeparted), then);
+  }
+  EXPECT_EQ(router.stop(), 0);
+  EXPECT_NE(text_of(folder / "log").find("using 2 servers from the seed file"), std::string::npos);
+  std::filesystem::remove_all(folder);
+}
+
 struct RunCounts {
   std::uint64_t served = 0, other = 0;
   std::uint64_t drained = 0;  // requests at the drained cache from 2 s after the drain was reported
--- a/tests/roster/etcd/seed_file_test.cpp
+++ b/tests/roster/etcd/seed_file_test.cpp
@@ -40,14 +40,14 @@
   /// The recorded roster with its first `servers` servers.
   engine::EndpointList roster(std::size_t servers = 2) {
     engine::EndpointList list =
-        std::get<engine::EndpointList>(decode_seed(kRecorded, names_, kWritten, kMaxAge));
+        std::get<engine::StoredEndpointList>(decode_seed(kRecorded, names_, kWritten, kMaxAge)).list;
     list.members.resize(servers);
     return list;
   }
   std::size_t servers_in_file() const {
     const auto seed = decode_seed(folder_.text_of("seed"), names_, kWritten, kMaxAge);
-    const auto* list = std::get_if<engine::EndpointList>(&seed);
-    return list != nullptr ? list->members.size() : 0;
+    const auto* stored = std::get_if<engine::StoredEndpointList>(&seed);
+    return stored != nullptr ? stored->list.members.size() : 0;
   }
 
   storage::test::TemporaryFolder folder_;
@@ -58,8 +58,9 @@
 
 TEST_F(SeedFileTest, FileOfEarlierVersion_IsReadAndWrittenUnchanged) {
   SeedFile file = open();
-  const auto list = file.load(names_, kWritten + 1, kMaxAge);
-  ASSERT_TRUE(list);
+  const auto stored = file.load(names_, kWritten + 1, kMaxAge);
+  ASSERT_TRUE(stored);
+  const engine::EndpointList* const list = &stored->list;
   EXPECT_EQ(list->revision, 42U);
   ASSERT_EQ(list->members.size(), 2U);
   EXPECT_EQ(list->members[0].address, "127.0.0.1:1001");
--- a/tests/roster/sources_test.cpp
+++ b/tests/roster/sources_test.cpp
@@ -47,6 +47,10 @@
       }
     }
   }
+  void on_stored_list(const engine::StoredEndpointList& stored) override {
+    there.clear();
+    for (const auto& one : stored.list.members) there[one.id] = one;
+  }
   void on_discovery_answered() override { ++answered; }
   void on_discovery_failed() override { ++failed; }
   std::string all() const {
@@ -122,6 +126,41 @@
   EXPECT_EQ(engine.answered, 1);
 }
 
+// Guards against a stored list that leads like one of etcd's: servers that the platform no longer lists would
+// get requests until etcd answers.
+TEST(RosterSources, StoredList_GivesWayToTheFirstCompleteListOfEitherSource) {
+  for (const bool second : {false, true}) {
+    Engine engine;
+    Sources sources(engine);
+    ASSERT_TRUE(sources.use_stored({list(true, {server("a"), server("b")})}));
+    EXPECT_EQ(engine.all(), "a b ");
+    EXPECT_EQ(engine.answered, 0);
+    auto& source = second ? sources.secondary() : sources.platform();
+    source.on_endpoint_list(list(true, {server("b"), server("c")}));
+    EXPECT_EQ(engine.all(), "b c ");
+    EXPECT_EQ(engine.departures, std::vector<std::string>{"a"});
+    EXPECT_EQ(engine.vanished, 0);
+    EXPECT_FALSE(sources.use_stored({list(true, {server("a")})}));
+    EXPECT_EQ(engine.all(), "b c ");
+  }
+}
+
+// Guards against a departure that is dropped because the server is known from the configuration only.
+TEST(RosterSources, ChangesToAStoredList_TakeEffectWhicheverSourceSendsThem) {
+  for (const bool second : {false, true}) {
+    Engine engine;
+    const engine::EndpointList known = list(true, {server("a"), server("b"), server("c")});
+    engine.on_stored_list({known});
+    Sources sources(engine, known);
+    auto& source = second ? sources.secondary() : sources.platform();
+    source.on_endpoint_list(list(false, {server("a", Phase::gone), server("b", Phase::draining)}));
+    EXPECT_EQ(engine.all(), "b- c ");
+    source.on_endpoint_list(list(false, {server("c", Phase::gone)}));
+    EXPECT_EQ(engine.all(), "b- ");
+    EXPECT_EQ(engine.departures, (std::vector<std::string>{"a", "c"}));
+  }
+}
+
 TEST(RosterMailbox, RepeatedChanges_KeepOneEntryPerServerAndEachDeparture) {
   Mailbox box;
   EXPECT_TRUE(box.put(list(false, {server("a")})));
@@ -184,11 +223,11 @@
     return error != nullptr ? std::optional(*error) : std::nullopt;
   };
   const auto seed = read(text);
-  const auto* list = std::get_if<engine::EndpointList>(&seed);
-  ASSERT_NE(list, nullptr);
-  ASSERT_EQ(list->members.size(), 2U);
-  EXPECT_EQ(list->members[1].member.phase, Phase::draining);
-  EXPECT_EQ(list->members[1].member.zone, 1U);
+  const auto* stored = std::get_if<engine::StoredEndpointList>(&seed);
+  ASSERT_NE(stored, nullptr);
+  ASSERT_EQ(stored->list.members.size(), 2U);
+  EXPECT_EQ(stored->list.members[1].member.phase, Phase::draining);
+  EXPECT_EQ(stored->list.members[1].member.zone, 1U);
   for (std::size_t cut = 0; cut < text.size(); ++cut) EXPECT_TRUE(error_of(text.substr(0, cut))) << cut;
   for (std::size_t i = 0; i < text.size(); ++i) {
     std::string spoilt = text;
