Client library: only a list requested after a suspension ends the hold

Cause: lists of the old watch and of the new request enter by one call; a complete list that had waited in the old watch's socket ended the hold that had just begun.

A list carries the number of the request that it answers (ListRequestId), Discovery::refetch() returns the new one, and the hold has explicit states: until the list is requested, until that request is answered.

--- a/src/engine/endpoint_discovery.h
+++ b/src/engine/endpoint_discovery.h
@@ -16,8 +16,12 @@
   Member member;        ///< its numeric id is set by the engine
 };
 
+/// Numbers the requests for endpoint lists at one source, in the order in which they were sent.
+enum class ListRequestId : std::uint64_t {};
+
 /// A complete endpoint list, or the changes since the previous one.
 struct EndpointList {
+  ListRequestId request = {};  ///< the request that it answers; 0 where the source does not number them
   std::uint64_t revision = 0;
   bool complete = false;  ///< whether this is a complete list, not only changes
   std::vector<ListedEndpoint> members;
--- a/src/plugin/client.cpp
+++ b/src/plugin/client.cpp
@@ -193,7 +193,7 @@
   }
   // New attempts are held until the endpoint list arrives, or until hold_until().
   void read_list() {
-    discovery->refetch();
+    clock.suspension().await(discovery->refetch());
     hold_timer->expires_after(
         std::chrono::microseconds(std::max<Time>(0, clock.suspension().hold_until() - clock.real_now())));
     hold_timer->async_wait([this](const boost::system::error_code& cancelled) {
@@ -219,7 +219,7 @@
     if (resuming) resume();
     engine->on_endpoint_list(list);
     if (!list.complete) return;
-    clock.suspension().on_list_read();
+    clock.suspension().on_list_read(list.request);
     release();
   }
   void on_discovery_failed() override { engine->on_discovery_failed(); }
--- a/src/plugin/resume.h
+++ b/src/plugin/resume.h
@@ -8,13 +8,16 @@
 //
 // After a suspension no new attempt is sent before the endpoint list has been read again, since servers may
 // have been told to leave meanwhile; an update that arrived during the suspension takes effect from its
-// arrival. If the list cannot be read within `max_hold` the old one is used, as whenever discovery is
-// unreachable.
+// arrival. Only a list that was requested after the suspension was noticed ends the hold: one that waited in
+// the old watch's socket is older than the suspension. If no such list can be read within `max_hold` the old
+// one is used, as whenever discovery is unreachable.
 #pragma once
 
 #include <algorithm>
 #include <cstdint>
 
+#include "engine/endpoint_discovery.h"
+
 namespace streampick::plugin {
 
 class SuspensionDetector {
@@ -39,24 +42,39 @@
   // Holds new attempts until the list has been read: after a suspension or an idle period (rest.h).
   void hold(long long now) {
     hold_until_ = now + settings_.max_hold;
-    holding_ = true;
+    hold_ = Hold::until_request;
+  }
+  // The list has been requested anew since the hold began; an answer to this request, or to a later one, ends
+  // the hold.
+  void await(engine::ListRequestId request) {
+    awaited_request_ = request;
+    if (hold_ == Hold::until_request) hold_ = Hold::until_answer;
+  }
+  // A complete list that answers `request` was read.
+  void on_list_read(engine::ListRequestId request) {
+    if (hold_ == Hold::until_answer && request >= awaited_request_) hold_ = Hold::none;
   }
-  // A complete list was read, or the watch reported its revision again.
-  void on_list_read() { holding_ = false; }
   // Whether a new attempt may be sent now.
   bool may_send(long long now) {
-    if (holding_ && now >= hold_until_) holding_ = false;
-    return !holding_;
+    if (now >= hold_until_) hold_ = Hold::none;
+    return hold_ == Hold::none;
   }
-  long long hold_until() const { return holding_ ? hold_until_ : 0; }
+  long long hold_until() const { return hold_ == Hold::none ? 0 : hold_until_; }
   long long suspended_time() const { return suspended_time_; }  // us, the sum of all suspensions
   std::uint64_t suspensions() const { return suspensions_; }
 
  private:
+  enum class Hold : std::uint8_t {
+    none,
+    until_request,  // the list has not been requested anew yet
+    until_answer,   // to awaited_request_
+  };
+
   Settings settings_;
   long long suspended_time_ = 0, hold_until_ = 0;
   std::uint64_t suspensions_ = 0;
-  bool holding_ = false;
+  Hold hold_ = Hold::none;
+  engine::ListRequestId awaited_request_{};
 };
 
 }  // namespace streampick::plugin
--- a/src/roster/discovery.cpp
+++ b/src/roster/discovery.cpp
@@ -30,8 +30,12 @@
 
 class Discovery::Watch : public std::enable_shared_from_this<Watch> {
  public:
-  explicit Watch(Discovery& owner)
-      : owner_(&owner), socket_(owner.io_), silence_timer_(owner.io_), framer_(kMaxListSize) {
+  Watch(Discovery& owner, engine::ListRequestId request)
+      : owner_(&owner),
+        request_id_(request),
+        socket_(owner.io_),
+        silence_timer_(owner.io_),
+        framer_(kMaxListSize) {
     parser_.body_limit(boost::none);
     parser_.eager(true);
   }
@@ -109,7 +113,7 @@
     body.clear();
     if (framed.received_line) restart_silence_timer(owner_->times_.silence);
     for (const std::string& list : framed.lists) {
-      owner_->apply_list(list);
+      owner_->apply_list(list, request_id_);
       if (owner_ == nullptr) return;
     }
     if (framed.too_long) fail("a list exceeds the size limit");
@@ -122,6 +126,7 @@
   }
 
   Discovery* owner_;
+  engine::ListRequestId request_id_;
   net::tcp::socket socket_;
   asio::steady_timer silence_timer_;
   beast::flat_buffer buffer_;
@@ -149,7 +154,8 @@
 void Discovery::watch() {
   if (stopped_) return;
   if (watch_) watch_->close();
-  watch_ = std::make_shared<Watch>(*this);
+  last_request_ = engine::ListRequestId{static_cast<std::uint64_t>(last_request_) + 1};
+  watch_ = std::make_shared<Watch>(*this, last_request_);
   watch_->start();
 }
 
@@ -161,13 +167,14 @@
   refetch();
 }
 
-void Discovery::refetch() {
+engine::ListRequestId Discovery::refetch() {
   revision_ = 0;
   outdated_since_.reset();
   backoff_ = times_.backoff_first;
   retry_.cancel();
   ++retry_generation_;
   watch();
+  return last_request_;
 }
 
 void Discovery::pause() {
@@ -193,9 +200,10 @@
   return now - *outdated_since_ < kMaxLagDuration;
 }
 
-void Discovery::apply_list(const std::string& text) {
+void Discovery::apply_list(const std::string& text, engine::ListRequestId request) {
   try {
-    const engine::EndpointList list = parse_members(text, names_);
+    engine::EndpointList list = parse_members(text, names_);
+    list.request = request;
     if (is_outdated(list)) {
       if (!list.complete) return;
       // Later changes on this watch build on the list that was rejected.
--- a/src/roster/discovery.h
+++ b/src/roster/discovery.h
@@ -33,8 +33,9 @@
   // Switches to another discovery service. Its revisions are independent of the former one's, so the complete
   // list is requested at once.
   void set_address(const boost::asio::ip::tcp::endpoint& address);
-  // Requests the complete list now, whatever revision is known.
-  void refetch();
+  // Requests the complete list now, whatever revision is known. Returns the request's number: lists that
+  // answer it or a later one have been sent after this call.
+  engine::ListRequestId refetch();
   // Closes the watch without reporting a failure, until the next watch() or refetch().
   void pause();
   void stop();
@@ -42,7 +43,7 @@
  private:
   class Watch;
   void on_watch_ended(const std::string& reason);
-  void apply_list(const std::string& list);
+  void apply_list(const std::string& text, engine::ListRequestId request);
   bool is_outdated(const engine::EndpointList& list);
 
   boost::asio::io_context& io_;
@@ -56,6 +57,7 @@
   engine::EndpointListObserver& observer_;
   std::minstd_rand random_;
   std::shared_ptr<Watch> watch_;
+  engine::ListRequestId last_request_{};  // that of watch_
   boost::asio::steady_timer retry_;
   std::chrono::milliseconds backoff_;
 };
--- a/tests/plugin/fleet.h
+++ b/tests/plugin/fleet.h
@@ -68,6 +68,10 @@
       discovery_->change(members, delay.count() > 0);
     });
   }
+  // Sends the list to the open watches once more.
+  void repeat_list() {
+    on([&] { discovery_->change(members); });
+  }
   // Removes the server from the list, which watches that start later receive after the delay.
   void unlist(std::size_t server, std::chrono::milliseconds delay) {
     on([&] {
--- a/tests/plugin/pause_test.cpp
+++ b/tests/plugin/pause_test.cpp
@@ -149,6 +149,30 @@
   EXPECT_EQ(fleet.requests_at(0), before);
 }
 
+// Guards against a list that waited through the suspension and ends the hold of new attempts: it does not
+// name the server that left meanwhile.
+TEST(PluginSuspension, ListSentBeforeAServerLeaves_DoesNotEndTheHold) {
+  StandinFleet fleet(3, 300ms);
+  Host host(fleet.settings, 8, 4'000ms, "again");
+  while (fleet.requests() < 8) std::this_thread::sleep_for(1ms);
+  std::this_thread::sleep_for(100ms);  // the first list has been read
+  std::uint64_t before = 0;
+  host.stop_for(
+      3'000ms,
+      [&] {
+        fleet.repeat_list();
+        std::this_thread::sleep_for(100ms);
+        EXPECT_GT(fleet.requests_at(0), 0U);
+        fleet.tell_leaves(0, 200ms);  // the list is delayed, and new calls wait for it
+        fleet.delay(2ms);
+      },
+      [&] { before = fleet.requests_at(0); });
+  const Report report = host.report();
+  EXPECT_EQ(report.ends, 16);
+  EXPECT_EQ(report.served, 16);
+  EXPECT_EQ(fleet.requests_at(0), before);
+}
+
 TEST(PluginSuspension, SuspensionDuringDrain_EndsEachCallOnce) {
   StandinFleet fleet(3, 500ms);
   Host host(fleet.settings, 6, 2'000ms, "drain");
