Engine tests: an override reaches the module with its server's number, and no other

Two paths of the registry were held by no test: the override of a server that is listed later, and a server that gets the number of a disabled one. Both tests ask for 50 keys and look at which servers were sent attempts.

Measured: with the registry's report of overrides taken out both fail; streampick_engine_tests 167 of 167 pass without that. No source changed.

--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -457,6 +457,27 @@
   EXPECT_EQ(fleet.sending_stops_at("c-1"), kNever);
 }
 
+// Guards against an override that is set before its server is listed and does not reach the decision module.
+TEST_F(EngineTest, ServerListedAfterItWasDisabled_GetsNoRequests) {
+  engine->set_override("c-3", true, 0);
+  engine->on_endpoint_list(list(2, false, {{"c-3", Phase::ready}}));
+  for (std::uint64_t key = 0; key < 50; ++key) ask(kRead, 0, 8 * kSecond, key);
+  EXPECT_FALSE(fleet.sent.empty());
+  for (const SentAttempt& sent : fleet.sent) EXPECT_NE(sent.server, "c-3");
+}
+
+// Guards against an override that stays with a server's number when another server gets the number.
+TEST_F(EngineTest, ServerWithTheNumberOfADisabledOne_GetsRequests) {
+  engine->set_override("c-1", true, 0);
+  engine->on_endpoint_list(list(2, true, {{"c-2", Phase::ready}}, true));
+  ASSERT_TRUE(fleet.gone.contains("c-1"));
+  engine->on_endpoint_list(list(3, true, {{"c-2", Phase::ready}, {"c-3", Phase::ready}}, true));
+  ASSERT_EQ(engine->servers(), 3U);  // c-3 has the number that c-1 had
+  for (std::uint64_t key = 0; key < 50; ++key) ask(kRead, 0, 8 * kSecond, key);
+  const auto is_c3 = [](const SentAttempt& sent) { return sent.server == "c-3"; };
+  EXPECT_TRUE(std::any_of(fleet.sent.begin(), fleet.sent.end(), is_c3));
+}
+
 TEST_F(EngineTest, ServerEnabledWhileListedAsDraining_GetsNoRequests) {
   engine->set_override("c-1", true, 0);
   engine->on_endpoint_list(list(2, false, {{"c-1", Phase::draining}}));
